--- a/entry/src/main/kotlin/anvilslip/entry/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/ClientConnection.kt
@@ -23,11 +23,11 @@
     /** Starts an exchange; [onReusable] is called when it is over and the connection may be used again. */
     fun begin(
         silence: Duration,
-        onReusable: () -> Unit,
+        onReusable: (allowedIdle: Duration?) -> Unit,
     ): HttpClientAnswer =
-        HttpClientAnswer(silence) { reusable ->
+        HttpClientAnswer(silence) { reusable, allowedIdle ->
             answer = null
-            if (reusable) onReusable() else context?.close()
+            if (reusable) onReusable(allowedIdle) else context?.close()
         }.also { answer = it }
 
     override fun channelRead(
@@ -35,7 +35,14 @@
         message: Any,
     ) {
         try {
-            val current = answer ?: return
+            val current = answer
+            if (current == null) {
+                // Bytes without a request belong to none; whatever follows on this connection cannot be trusted.
+                ctx.close()
+                return
+            }
+            if (message is HttpResponse && message.status().code() in INFORMATIONAL) return
+            if (current.isWhole) return current.spoil()
             if (message is HttpResponse) current.onHead(message)
             if (message is HttpContent) {
                 val cause = message.decoderResult().cause()
@@ -60,4 +67,8 @@
         answer?.onBroken(cause.message ?: cause.toString())
         ctx.close()
     }
+
+    private companion object {
+        val INFORMATIONAL = 100..199
+    }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/HttpCall.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpCall.kt
@@ -7,6 +7,8 @@
     public val query: Map<String, List<String>>,
     public val headers: Map<String, List<String>>,
     public val body: ByteArray,
+    /** Path and query as they were sent. */
+    public val target: String = path,
 ) {
     /** The first value of a header. */
     public fun header(name: String): String? = headers[name]?.firstOrNull()
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpClient.kt
@@ -1,9 +1,12 @@
 package anvilslip.entry
 
+import anvilslip.kernel.Clock
 import anvilslip.kernel.Service
+import anvilslip.kernel.SystemClock
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -27,10 +30,19 @@
 public class HttpClient(
     private val connectTimeout: Duration = 1.seconds,
     threads: Int = 2,
+    /** Longest time that a connection is kept unused. */
+    private val maxIdle: Duration = 30.seconds,
+    private val clock: Clock = SystemClock,
 ) : Service {
+    /** A connection that waits for its next request. */
+    private class Idle(
+        val channel: Channel,
+        val until: Duration,
+    )
+
     override val name: String = NAME
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
-    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
+    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Idle>>()
     private val bootstrap =
         Bootstrap()
             .group(group)
@@ -62,9 +74,14 @@
     ): HttpClientAnswer {
         val channel = (if (call.freshConnection) null else takeIdle(address)) ?: connect(address)
         val connection = channel.pipeline().get(ClientConnection::class.java)
-        val answer = connection.begin(silence) { giveBack(address, channel) }
+        lateinit var written: ChannelFuture
+        val answer =
+            connection.begin(
+                silence,
+            ) { allowed -> if (written.isSuccess) giveBack(address, channel, allowed) else channel.close() }
         try {
-            channel.writeAndFlush(request(address, call)).awaitChannel()
+            written = channel.writeAndFlush(request(address, call))
+            written.awaitChannel()
             answer.awaitHead()
         } catch (e: IOException) {
             answer.close()
@@ -95,7 +112,7 @@
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toIntOrNull() ?: throw HttpClientError.NotSent("'$address' is not host:port")
         return try {
-            withTimeoutOrNull(connectTimeout) { bootstrap.connect(host, port).awaitChannel() }
+            withTimeoutOrNull(connectTimeout) { bootstrap.connect(host, port).awaitConnected() }
                 ?: throw HttpClientError.NotSent("connecting to $address timed out")
         } catch (e: IOException) {
             throw e as? HttpClientError ?: HttpClientError.NotSent("connecting to $address failed: ${e.message}", e)
@@ -106,16 +123,19 @@
         val channels = idle[address] ?: return null
         while (true) {
             val channel = channels.pollLast() ?: return null
-            if (channel.isActive) return channel
+            if (channel.channel.isActive && clock.elapsed() < channel.until) return channel.channel
+            channel.channel.close()
         }
     }
 
     private fun giveBack(
         address: String,
         channel: Channel,
+        allowed: Duration?,
     ) {
+        val kept = allowed?.let { minOf(maxIdle, it * KEEP_ALIVE_SHARE) } ?: maxIdle
         val channels = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        if (channels.size < MAX_IDLE) channels.addLast(channel) else channel.close()
+        if (channels.size < MAX_IDLE && channel.isActive) channels.addLast(Idle(channel, clock.elapsed() + kept)) else channel.close()
     }
 
     private fun request(
@@ -125,8 +145,8 @@
         val body = Unpooled.wrappedBuffer(call.body)
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.path, body)
         call.headers.forEach { (name, value) -> request.headers().set(name, value) }
-        request.headers().set(HttpHeaderNames.HOST, address)
-        request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
+        request.headers().set(HttpHeaderNames.HOST, call.host ?: address)
+        if (call.body.isNotEmpty() || call.method !in BODILESS) request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
         return request
     }
 
@@ -134,6 +154,10 @@
         /** Name in the service registry. */
         public const val NAME: String = "http-client"
         private const val MAX_IDLE = 64
+
+        /** A connection is given up this early, so that the server does not close it as it is used. */
+        private const val KEEP_ALIVE_SHARE = 0.6
+        private val BODILESS = setOf("GET", "HEAD", "DELETE")
         private const val SHUTDOWN_MILLIS = 500L
         private const val DEFAULT_MAX_BYTES = 16 * 1024 * 1024
     }
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientAnswer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpClientAnswer.kt
@@ -9,11 +9,12 @@
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** An answer that is being received. Must be closed; closing before its end closes the connection. */
 public class HttpClientAnswer internal constructor(
     private val silence: Duration,
-    private val onClose: (reusable: Boolean) -> Unit,
+    private val onClose: (reusable: Boolean, allowedIdle: Duration?) -> Unit,
 ) : AutoCloseable {
     private class Head(
         val status: Int,
@@ -29,6 +30,14 @@
     @Volatile
     private var whole = false
 
+    @Volatile
+    private var spoilt = false
+
+    internal val isWhole: Boolean get() = whole
+
+    /** All headers; names are lower case, repeated ones are joined by commas. */
+    public val headers: Map<String, String> get() = received.headers
+
     /** Status code. */
     public val status: Int get() = received.status
 
@@ -59,7 +68,28 @@
     }
 
     override fun close() {
-        if (closed.compareAndSet(false, true)) onClose(whole && received.keepAlive)
+        if (closed.compareAndSet(false, true)) onClose(whole && !spoilt && received.keepAlive, allowedIdle())
+    }
+
+    private fun allowedIdle(): Duration? {
+        val seconds =
+            if (whole) {
+                header("keep-alive")?.let {
+                    TIMEOUT
+                        .find(it)
+                        ?.groupValues
+                        ?.get(1)
+                        ?.toLongOrNull()
+                }
+            } else {
+                null
+            }
+        return seconds?.seconds
+    }
+
+    /** Something came behind the end of the answer. */
+    internal fun spoil() {
+        spoilt = true
     }
 
     internal suspend fun awaitHead() {
@@ -68,7 +98,7 @@
 
     internal fun onHead(response: HttpResponse) {
         if (response.decoderResult().isFailure) return onBroken("malformed answer")
-        val headers = response.headers().associate { it.key.lowercase() to it.value }
+        val headers = response.headers().groupBy({ it.key.lowercase() }, { it.value }).mapValues { it.value.joinToString(", ") }
         val type = response.headers()[HttpHeaderNames.CONTENT_TYPE]
         head.complete(Head(response.status().code(), type, headers, HttpUtil.isKeepAlive(response)))
     }
@@ -88,4 +118,8 @@
         head.completeExceptionally(error)
         if (!whole) body.close(error)
     }
+
+    private companion object {
+        val TIMEOUT = Regex("timeout=(\\d+)")
+    }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientCall.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpClientCall.kt
@@ -8,4 +8,6 @@
     public val body: ByteArray = ByteArray(0),
     /** True to use a fresh connection, so that a failure to connect is told from a failure later. */
     public val freshConnection: Boolean = false,
+    /** Value of the Host header; null for the address. */
+    public val host: String? = null,
 )
--- a/entry/src/main/kotlin/anvilslip/entry/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpConnection.kt
@@ -34,6 +34,7 @@
     private val handler: HttpHandler,
     private val options: HttpServerOptions,
     private val scope: CoroutineScope,
+    private val isDraining: () -> Boolean = { false },
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
     private var body: ByteBuf = Unpooled.EMPTY_BUFFER
@@ -108,6 +109,10 @@
                 refuse(ctx, malformed(cause))
             }
 
+            request.protocolVersion() !in VERSIONS || !isFramedPlainly(request) -> {
+                refuse(ctx, ApiError(ErrorCode.MALFORMED_REQUEST, "the version or the transfer encoding is not supported"))
+            }
+
             HttpUtil.getContentLength(request, 0L) > options.maxBodyBytes -> {
                 refuse(ctx, tooLarge())
             }
@@ -153,13 +158,13 @@
         val uri = QueryStringDecoder(request.uri())
         val call =
             try {
-                HttpCall(request.method().name(), uri.path(), uri.parameters(), headersOf(request), bytes)
+                HttpCall(request.method().name(), uri.path(), uri.parameters(), headersOf(request), bytes, request.uri())
             } catch (e: IllegalArgumentException) {
                 refuse(ctx, malformed(e))
                 return
             }
         busy = true
-        val responder = NettyResponder(ctx, HttpUtil.isKeepAlive(request), options.writeTimeout)
+        val responder = NettyResponder(ctx, { HttpUtil.isKeepAlive(request) && !isDraining() }, options.writeTimeout)
         handling = scope.launch { handle(ctx, call, responder) }
     }
 
@@ -189,6 +194,11 @@
 
     private fun headersOf(request: HttpRequest): Map<String, List<String>> = request.headers().groupBy({ it.key.lowercase() }, { it.value })
 
+    private fun isFramedPlainly(request: HttpRequest): Boolean {
+        val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return encodings.isEmpty() || (encodings.size == 1 && encodings.single().equals("chunked", ignoreCase = true))
+    }
+
     private fun closeAfter(
         ctx: ChannelHandlerContext,
         timeout: Duration,
@@ -218,6 +228,7 @@
 
     private companion object {
         val log = EventLogger("http")
+        val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
         val CONTINUE = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
     }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpServer.kt
@@ -28,6 +28,8 @@
     private val handler: HttpHandler,
     private val options: HttpServerOptions = HttpServerOptions(),
     threads: Int = 2,
+    /** Bounds for connections made from now on. */
+    private val currentOptions: () -> HttpServerOptions = { options },
 ) : Service {
     private val log = EventLogger("http")
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
@@ -64,13 +66,23 @@
             while (active > 0) delay(IDLE_CHECK)
         } != null
 
+    /** True once each answer asks its client to connect elsewhere. */
+    @Volatile
+    public var isDraining: Boolean = false
+
+    /** Takes no more connections; those that are open are served. */
+    public suspend fun stopAccepting() {
+        channel?.close()?.awaitChannel()
+    }
+
     private fun initialize(channel: SocketChannel) {
+        val options = currentOptions()
         val config =
             HttpDecoderConfig()
                 .setMaxInitialLineLength(options.maxLineBytes)
                 .setMaxHeaderSize(options.maxHeaderBytes)
         channel.pipeline().addLast(StrictRequestDecoder(config), HttpResponseEncoder())
-        channel.pipeline().addLast(HttpConnection(handler, options, scope))
+        channel.pipeline().addLast(HttpConnection(handler, options, scope) { isDraining })
     }
 
     private companion object {
--- a/entry/src/main/kotlin/anvilslip/entry/NettyFutures.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/NettyFutures.kt
@@ -12,4 +12,13 @@
         addListener { if (isSuccess) continuation.resume(channel()) else continuation.resumeWithException(cause() ?: CLOSED) }
     }
 
+/** As [awaitChannel] for a connection being made, which is closed when nobody waits for it any more. */
+internal suspend fun ChannelFuture.awaitConnected(): Channel =
+    try {
+        awaitChannel()
+    } catch (e: kotlinx.coroutines.CancellationException) {
+        addListener { channel().close() }
+        throw e
+    }
+
 private val CLOSED = java.io.IOException("closed")
--- a/entry/src/main/kotlin/anvilslip/entry/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/NettyResponder.kt
@@ -17,10 +17,11 @@
 /** [HttpResponder] on a Netty connection. */
 internal class NettyResponder(
     private val ctx: ChannelHandlerContext,
-    private val keepAlive: Boolean,
+    private val keepAlive: () -> Boolean,
     private val writeTimeout: Duration,
 ) : HttpResponder {
     private var begun = false
+    private var keeps = true
 
     /** True once an answer was sent or broken off. */
     var isDone = false
@@ -29,8 +30,8 @@
     override suspend fun answer(answer: HttpAnswer) {
         check(!begun && !isDone) { "answered twice" }
         isDone = true
-        write(fullResponse(answer, keepAlive))
-        if (!keepAlive) ctx.close()
+        keeps = keepAlive()
+        write(fullResponse(answer, keeps), last = true)
     }
 
     override suspend fun begin(
@@ -40,12 +41,13 @@
     ) {
         check(!begun && !isDone) { "answered twice" }
         begun = true
+        keeps = keepAlive()
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
         headers.forEach { (name, value) -> response.headers().set(name, value) }
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
-        setConnection(response.headers(), keepAlive)
+        setConnection(response.headers(), keeps)
         write(response)
     }
 
@@ -57,8 +59,7 @@
     override suspend fun end() {
         check(begun && !isDone) { "not streaming" }
         isDone = true
-        write(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (!keepAlive) ctx.close()
+        write(LastHttpContent.EMPTY_LAST_CONTENT, last = true)
     }
 
     override fun abort() {
@@ -74,8 +75,12 @@
         ctx.writeAndFlush(fullResponse(error.toAnswer(null), keepAlive = false)).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private suspend fun write(message: Any) {
+    private suspend fun write(
+        message: Any,
+        last: Boolean = false,
+    ) {
         val future = ctx.writeAndFlush(message)
+        if (last && !keeps) future.addListener(ChannelFutureListener.CLOSE)
         if (ctx.channel().isWritable) return
         withTimeoutOrNull(writeTimeout) { future.awaitChannel() } ?: run {
             ctx.close()
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
@@ -0,0 +1,26 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpAnswer
+
+/** How an [Attempt] ended. */
+internal sealed interface AttemptResult {
+    /** The client has its answer. */
+    data class Delivered(
+        val status: Int,
+    ) : AttemptResult
+
+    /** The server answered with a failure of its own, which a repeated run may avoid. */
+    data class Failed(
+        val answer: HttpAnswer,
+    ) : AttemptResult
+
+    /** The server certainly did not run the request and never will. */
+    data class NotRun(
+        val reason: String,
+    ) : AttemptResult
+
+    /** The request may have run, and its answer is lost or cut off. */
+    data class Broken(
+        val reason: String,
+    ) : AttemptResult
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -0,0 +1,25 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpCall
+import kotlin.time.Duration
+
+/** A request of a client, decoded. */
+public class ClientRequest(
+    /** The request as it came; method, target and body are passed on unchanged. */
+    public val call: HttpCall,
+    /** ID of this attempt of the client; null when it gave none. */
+    public val attempt: String?,
+    /** Host without a port. */
+    public val host: String,
+    public val key: String?,
+    /** How long the client waits; null when it did not say. */
+    public val patience: Duration?,
+    public val model: String? = null,
+    public val adapter: String? = null,
+    public val promptTokens: Int = 0,
+    /** Prompt and output tokens; null when they were not stated. */
+    public val tokens: Long? = null,
+    public val prefix: List<String> = emptyList(),
+    /** Last event that the client has of a stream it takes up again. */
+    public val lastEvent: String? = null,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/EngineOrders.kt
@@ -0,0 +1,18 @@
+package anvilslip.gateway
+
+import anvilslip.policy.ServerSurvey
+
+/** Orders to model engines and questions about their state. */
+public interface EngineOrders {
+    /** State of the engine [server] at [address]; null when it does not answer. */
+    public suspend fun survey(
+        server: String,
+        address: String,
+    ): ServerSurvey?
+
+    /** Orders [order], fenced by [fencing], which grows with each leader. */
+    public suspend fun give(
+        order: EngineOrder,
+        fencing: Long,
+    ): OrderReply
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ForwarderIdentity.kt
@@ -0,0 +1,7 @@
+package anvilslip.gateway
+
+/** What a [Forwarder] tells of the instance it runs on. */
+public data class ForwarderIdentity(
+    val host: String,
+    val zone: String,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -0,0 +1,216 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpClient
+import anvilslip.entry.HttpServer
+import anvilslip.entry.HttpServerOptions
+import anvilslip.kernel.Clock
+import anvilslip.kernel.EventLogger
+import anvilslip.kernel.HybridClock
+import anvilslip.kernel.Kernel
+import anvilslip.kernel.Metrics
+import anvilslip.kernel.SystemClock
+import anvilslip.policy.DispatchOptions
+import anvilslip.policy.EntryInstance
+import anvilslip.policy.RetryBudget
+import anvilslip.settings.Address
+import anvilslip.settings.GatewaySettings
+import anvilslip.state.FileStorage
+import anvilslip.state.Replica
+import anvilslip.state.ReplicaOptions
+import anvilslip.state.ReplicaTransport
+import anvilslip.wire.PeerAddress
+import anvilslip.wire.PeerHandler
+import anvilslip.wire.PeerMessage
+import anvilslip.wire.PeerNetwork
+import anvilslip.wire.PeerOptions
+import kotlinx.coroutines.delay
+import java.util.UUID
+import kotlin.io.path.readBytes
+import kotlin.system.exitProcess
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** All services of one entry or control instance, wired together. */
+public class Gateway(
+    private val settings: GatewaySettings,
+    private val dialects: GatewayDialects,
+    private val clock: Clock = SystemClock,
+) {
+    private val log = EventLogger("gateway")
+    private val kernel = Kernel()
+    private val incarnation = UUID.randomUUID().toString().take(INCARNATION_CHARACTERS)
+    private val metrics = kernel.install(Metrics())
+    private val network = kernel.install(network())
+    private val knowledge = Knowledge(dialects.documents, clock, settings.seeds, settings.heartbeat)
+    private val client = kernel.install(HttpClient(connectTimeout = CONNECT_TIMEOUT, threads = 1, maxIdle = MAX_IDLE, clock = clock))
+    private val watch = kernel.install(WatchService(network, knowledge, settings.host, settings.peerPort, clock, ::self))
+    private var frontend: HttpServer? = null
+    private var forwarder: Forwarder? = null
+
+    @Volatile
+    private var isLeaving = false
+
+    init {
+        network.handler = if (settings.isControl) installControl() else PeerHandler { _, message -> answer(message) }
+        if (settings.clients != null) installEntry(settings.clients!!)
+        val address = Address(settings.host, settings.metricsPort)
+        kernel.install(HttpServer("metrics-http", address, MetricsHandler(metrics), threads = 1))
+    }
+
+    private val isReady: Boolean get() = knowledge.inForce.configuration != null && !isLeaving
+
+    /** Starts all services. */
+    public suspend fun start() {
+        kernel.start()
+        log.info("started", "instance" to settings.instance, "host" to settings.host, "zone" to settings.zone, "incarnation" to incarnation)
+    }
+
+    /**
+     * Stops without cutting off a request: clients are sent elsewhere first, those that come all the same are served, and the
+     * answers under way are finished.
+     */
+    public suspend fun drain() {
+        isLeaving = true
+        log.info("stopping", "instance" to settings.instance, "running" to frontend?.active)
+        val server = frontend ?: return
+        server.isDraining = true
+        watch.announce()
+        delay(settings.shutdownTime * SERVING_SHARE)
+        forwarder?.isRefusing = true
+        server.awaitIdle(settings.shutdownTime * FINISHING_SHARE)
+        server.stopAccepting()
+    }
+
+    /** Takes over what may change while the process runs: the control instances it can turn to. */
+    public fun reload(next: GatewaySettings): Unit = knowledge.takeControls(next.seeds)
+
+    /** Stops all services. */
+    public suspend fun stop() {
+        kernel.stop()
+        log.info("stopped", "instance" to settings.instance)
+    }
+
+    private fun self(): EntryInstance? =
+        settings.clients?.let { EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady) }
+
+    private fun answer(message: PeerMessage): PeerMessage =
+        if (message is PeerMessage.Ping) PeerMessage.Ack else PeerMessage.Failed("not understood here")
+
+    private fun network(): PeerNetwork =
+        PeerNetwork(
+            self = settings.host,
+            listen = PeerAddress(settings.host, settings.peerPort),
+            peers = emptyMap(),
+            secret = settings.secretFile?.readBytes() ?: OPEN_SECRET,
+            clock = clock,
+            stamps = HybridClock(clock),
+            options = PeerOptions(silence = PEER_SILENCE),
+            accepts = { true },
+            onBytes = { sent, received ->
+                metrics.peerBytesSent.inc(sent.toDouble())
+                metrics.peerBytesReceived.inc(received.toDouble())
+            },
+        )
+
+    private fun installControl(): PeerHandler {
+        val replica = kernel.install(replica())
+        val watchers = WatchResponder(settings.host, incarnation, knowledge, replica, clock)
+        val engines = dialects.engines(client, settings.instance)
+        val options = DispatchOptions(orderPause = settings.orderPause)
+        val dispatch = kernel.install(LeaderDispatch(replica, knowledge, watchers, engines, options, clock))
+        val operations = ControlOperations(dialects.documents, knowledge, replica, network, watchers, clock)
+        val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
+        kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1))
+        settings.directory?.let {
+            kernel.install(HttpServer("directory", it, dialects.directory(operations, settings.resolveLifetime), threads = 1))
+        }
+        return ControlRouter(replica, watchers, dispatch, operations)
+    }
+
+    private fun replica(): Replica {
+        lateinit var replica: Replica
+        val transport =
+            ReplicaTransport { to, message ->
+                network.connectTo(to.instance, PeerAddress(to.instance, settings.peerPort))
+                network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message))
+            }
+        val voters = settings.toleratedLosses * 2 + 1
+        replica =
+            Replica(
+                instance = settings.host,
+                members = settings.seeds,
+                storage = FileStorage(settings.dataFolder!!) { metrics.syncs.inc() },
+                transport = transport,
+                clock = clock,
+                options = ReplicaOptions(voterTarget = voters, snapshotEvery = SNAPSHOT_EVERY, keptEntries = KEPT_ENTRIES),
+                mayFound = settings.mayFound,
+                onStorageFailure = { exitProcess(EXIT_STORAGE) },
+                onState = { state ->
+                    state.document?.let(knowledge::take)
+                    knowledge.take(state.namedVersions, state.namedRevision)
+                },
+            )
+        return replica
+    }
+
+    private fun installEntry(address: Address) {
+        val progress = kernel.install(ProgressReporter(settings.host, network, knowledge))
+        val local = LocalDispatch(knowledge, progress::runningOn)
+        val admitter = Admitter(network, knowledge, local, clock)
+        val sender = Sender(client, dialects.requests, progress, clock)
+        val served =
+            Forwarder(
+                self = ForwarderIdentity(settings.host, settings.zone),
+                dialect = dialects.requests,
+                knowledge = knowledge,
+                admitter = admitter,
+                local = local,
+                progress = progress,
+                sender = sender,
+                metrics = GatewayMetrics(metrics),
+                clock = clock,
+                retryBudget = ::retryBudget,
+            )
+        forwarder = served
+        frontend = kernel.install(HttpServer("clients", address, served, threads = 1, currentOptions = ::clientOptions))
+        settings.readiness?.let { kernel.install(HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1)) }
+    }
+
+    private fun retryBudget() =
+        RetryBudget(settings.retryWindow, settings.retryShare * BUDGET_SAFETY, settings.retryReserve * BUDGET_SAFETY / knowledge.entries)
+
+    private fun clientOptions(): HttpServerOptions {
+        val limits = knowledge.inForce.configuration?.limits ?: return HttpServerOptions()
+        return HttpServerOptions(
+            maxBodyBytes = limits.maxBodyBytes,
+            maxHeaderBytes = limits.maxHeaderBytes,
+            maxLineBytes = limits.maxHeaderBytes,
+            receiveTimeout = limits.headerTimeout,
+            idleTimeout = limits.idleTimeout,
+        )
+    }
+
+    private companion object {
+        const val INCARNATION_CHARACTERS = 8
+        const val MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+        const val EXIT_STORAGE = 4
+
+        /** Used where no secret is set, so that all instances use the same. */
+        val OPEN_SECRET = "anvilslip".toByteArray()
+        val CONNECT_TIMEOUT: Duration = 500.milliseconds
+        val MAX_IDLE: Duration = 3.seconds
+        val PEER_SILENCE: Duration = 2.seconds
+
+        /** Documents can be large, so that few are kept in memory and in the log. */
+        const val SNAPSHOT_EVERY = 64
+        const val KEPT_ENTRIES = 16
+
+        /** Shares of the shutdown time in which requests are still taken in, and in which the last ones are finished. */
+        const val SERVING_SHARE = 0.6
+        const val FINISHING_SHARE = 0.3
+
+        /** Instances may count differently for a moment, so each uses less than its part. */
+        const val BUDGET_SAFETY = 0.7
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
@@ -0,0 +1,16 @@
+package anvilslip.gateway
+
+import anvilslip.kernel.Metrics
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
+
+/** Metrics of the requests that an entry instance forwards. */
+public class GatewayMetrics(
+    metrics: Metrics,
+) {
+    /** Requests by kind of route and outcome. */
+    public val outcomes: Counter = metrics.counter("anvilslip_forwarded_total", "Requests by kind and outcome", "kind", "outcome")
+
+    /** Seconds from the request to the end of its answer, by kind of route. */
+    public val duration: Histogram = metrics.histogram("anvilslip_forwarded_seconds", "Time until the end of the answer", "kind")
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -0,0 +1,101 @@
+package anvilslip.gateway
+
+import anvilslip.policy.ServeDecision
+import anvilslip.policy.ServeDemand
+import anvilslip.policy.ServeRefusal
+import anvilslip.policy.ServerPhase
+import anvilslip.policy.ServerReport
+import anvilslip.policy.WorkspaceBucket
+import anvilslip.state.AdapterName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides here while no leader can be asked: among servers that hold the adapter already, and within this instance's part of
+ * each limit, which the leader leaves to instances that it does not hear from.
+ */
+public class LocalDispatch(
+    private val knowledge: Knowledge,
+    private val runningOn: (server: String) -> Int,
+) {
+    private class Share(
+        val rate: Double,
+        val burst: Double,
+        val bucket: WorkspaceBucket,
+    )
+
+    private val shares = HashMap<String, Share>()
+    private val seen =
+        object : LinkedHashMap<AdapterName, String>(INITIAL_SIZE, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<AdapterName, String>): Boolean = size > MAX_SEEN
+        }
+
+    /** [server] was seen to serve [adapter]. */
+    @Synchronized
+    public fun served(
+        server: String,
+        adapter: AdapterName,
+    ) {
+        seen[adapter] = server
+    }
+
+    /** Decides on [demand]. */
+    @Synchronized
+    public fun decide(
+        demand: ServeDemand,
+        now: Duration,
+    ): ServeDecision {
+        val candidates =
+            knowledge.servers().filter {
+                it.service == demand.service && it.phase == ServerPhase.READY && it.id !in demand.exclude
+            }
+        if (candidates.isEmpty()) return ServeDecision.Refuse(ServeRefusal.NO_SERVER, RETRY.inWholeMilliseconds)
+        val able = candidates.filter { canServe(it, demand) }
+        val best =
+            able.minByOrNull { runningOn(it.id) + if (it.zone == demand.zone) 0.0 else OTHER_ZONE }
+                ?: return ServeDecision.Refuse(ServeRefusal.LOADING, RETRY.inWholeMilliseconds)
+        val bucket = demand.workspace?.let { bucket(it, now) }
+        if (bucket != null && !bucket.spend(demand.charge.toDouble(), now)) {
+            return ServeDecision.Refuse(ServeRefusal.OVER_LIMIT, bucket.wait(demand.charge.toDouble()).inWholeMilliseconds.coerceAtLeast(1))
+        }
+        return ServeDecision.Send(best.id, best.address, version = version(demand))
+    }
+
+    private fun version(demand: ServeDemand): Long? {
+        val name = AdapterName(demand.model ?: return null, demand.adapter ?: return null)
+        return knowledge.inForce.versions[name]
+    }
+
+    private fun canServe(
+        server: ServerReport,
+        demand: ServeDemand,
+    ): Boolean {
+        val model = demand.model ?: return true
+        val held = server.models.orEmpty().firstOrNull { it.name == model } ?: return false
+        val adapter = demand.adapter ?: return true
+        return adapter in held.adapters || seen[AdapterName(model, adapter)] == server.id
+    }
+
+    private fun bucket(
+        workspace: String,
+        now: Duration,
+    ): WorkspaceBucket? {
+        val limits =
+            knowledge.inForce.configuration
+                ?.workspaces
+                ?.firstOrNull { it.name == workspace } ?: return null
+        if (limits.ratePerSecond <= 0) return null
+        val rate = limits.ratePerSecond / knowledge.entries
+        val burst = limits.burst / knowledge.entries
+        val share = shares[workspace]?.takeIf { it.rate == rate && it.burst == burst }
+        return (share ?: Share(rate, burst, WorkspaceBucket(rate, burst, burst, now)).also { shares[workspace] = it }).bucket
+    }
+
+    private companion object {
+        val RETRY = 500.milliseconds
+        const val OTHER_ZONE = 0.5
+        const val INITIAL_SIZE = 64
+        const val LOAD_FACTOR = 0.75f
+        const val MAX_SEEN = 512
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Sender.kt
@@ -0,0 +1,139 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpAnswer
+import anvilslip.entry.HttpClient
+import anvilslip.entry.HttpClientAnswer
+import anvilslip.entry.HttpClientCall
+import anvilslip.entry.HttpClientError
+import anvilslip.kernel.Clock
+import anvilslip.policy.RequestKind
+import anvilslip.policy.ServeStep
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Sends a request to one backend server and passes its answer on. */
+internal class Sender(
+    private val client: HttpClient,
+    private val dialect: RequestDialect,
+    private val progress: ProgressReporter,
+    private val clock: Clock,
+) {
+    suspend fun send(
+        exchange: Exchange,
+        attempt: Attempt,
+    ): AttemptResult {
+        val request = exchange.request
+        val call = call(exchange, attempt)
+        val answer =
+            try {
+                client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed())
+            } catch (e: HttpClientError.NotSent) {
+                progress.step(attempt.number, ServeStep.UNREACHABLE)
+                return AttemptResult.NotRun(e.message ?: "not sent")
+            } catch (e: HttpClientError.Broken) {
+                return AttemptResult.Broken(e.message ?: "broken")
+            }
+        answer.use {
+            return when (dialect.verdict(request, answer)) {
+                ServerVerdict.NOT_RUN -> notRun(attempt, ServeStep.NOT_RUN, answer)
+                ServerVerdict.NOT_HELD -> notRun(attempt, ServeStep.NOT_HELD, answer)
+                ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer is not the server's own to this request")
+                ServerVerdict.ANSWER -> passOn(exchange, attempt, answer)
+            }
+        }
+    }
+
+    private fun call(
+        exchange: Exchange,
+        attempt: Attempt,
+    ): HttpClientCall {
+        val request = exchange.request
+        val forwarding =
+            Forwarding(
+                server = attempt.decision.server,
+                workspace = exchange.workspace?.name,
+                left = (exchange.deadline - clock.elapsed()).coerceAtLeast(MIN_LEFT),
+                priority = exchange.workspace?.priority ?: exchange.route.priority,
+                version = attempt.decision.version,
+                lastEvent = exchange.events.lastId?.toString() ?: request.lastEvent,
+            )
+        return HttpClientCall(
+            method = request.call.method,
+            path = request.call.target,
+            headers = dialect.headers(request, forwarding),
+            body = request.call.body,
+            freshConnection = !exchange.route.isRepeatable,
+            host = request.call.header("host"),
+        )
+    }
+
+    private suspend fun notRun(
+        attempt: Attempt,
+        step: ServeStep,
+        answer: HttpClientAnswer,
+    ): AttemptResult {
+        progress.step(attempt.number, step)
+        val reason = "${answer.status}"
+        try {
+            answer.readAll(MAX_REFUSAL_BYTES)
+        } catch (e: HttpClientError) {
+            return AttemptResult.NotRun("$reason, cut off: ${e.message}")
+        }
+        return AttemptResult.NotRun(reason)
+    }
+
+    private suspend fun passOn(
+        exchange: Exchange,
+        attempt: Attempt,
+        answer: HttpClientAnswer,
+    ): AttemptResult {
+        progress.step(attempt.number, ServeStep.ANSWERING)
+        val streams = exchange.route.kind == RequestKind.STREAMING && answer.status == OK
+        return try {
+            if (streams) stream(exchange, answer) else whole(exchange, answer)
+        } catch (e: HttpClientError) {
+            AttemptResult.Broken(e.message ?: "broken")
+        }
+    }
+
+    private suspend fun whole(
+        exchange: Exchange,
+        answer: HttpClientAnswer,
+    ): AttemptResult {
+        val body = answer.readAll(MAX_WHOLE_BYTES)
+        val whole = HttpAnswer(answer.status, body, answer.contentType, dialect.answerHeaders(answer))
+        if (answer.status >= SERVER_ERROR || exchange.hasBegun) return AttemptResult.Failed(whole)
+        exchange.hasBegun = true
+        exchange.responder.answer(whole)
+        return AttemptResult.Delivered(answer.status)
+    }
+
+    private suspend fun stream(
+        exchange: Exchange,
+        answer: HttpClientAnswer,
+    ): AttemptResult {
+        if (!exchange.hasBegun) {
+            exchange.hasBegun = true
+            exchange.responder.begin(answer.status, answer.contentType ?: EVENT_STREAM, dialect.answerHeaders(answer))
+        }
+        exchange.events.restart()
+        while (true) {
+            val bytes = answer.read() ?: break
+            val events = exchange.events.take(bytes)
+            if (events.isNotEmpty()) exchange.responder.part(events)
+        }
+        if (exchange.events.isCutOff) return AttemptResult.Broken("the stream ended within an event")
+        exchange.responder.end()
+        return AttemptResult.Delivered(answer.status)
+    }
+
+    private companion object {
+        const val OK = 200
+        const val SERVER_ERROR = 500
+        const val EVENT_STREAM = "text/event-stream"
+        const val MAX_WHOLE_BYTES = 16 * 1024 * 1024
+        const val MAX_REFUSAL_BYTES = 64 * 1024
+        val MIN_LEFT: Duration = 1.milliseconds
+    }
+}
--- a/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
@@ -49,16 +49,18 @@
         return out.toString(Charsets.UTF_8)
     }
 
-    private fun counter(
+    /** Registers a counter of another module. */
+    public fun counter(
         name: String,
         help: String,
         vararg labels: String,
-    ) = Counter
-        .builder()
-        .name(name)
-        .help(help)
-        .labelNames(*labels)
-        .register(registry)
+    ): Counter =
+        Counter
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
 
     private fun gauge(
         name: String,
@@ -71,17 +73,19 @@
         .labelNames(*labels)
         .register(registry)
 
-    private fun histogram(
+    /** Registers a histogram of another module. */
+    public fun histogram(
         name: String,
         help: String,
         vararg labels: String,
-    ) = Histogram
-        .builder()
-        .name(name)
-        .help(help)
-        .classicOnly()
-        .labelNames(*labels)
-        .register(registry)
+    ): Histogram =
+        Histogram
+            .builder()
+            .name(name)
+            .help(help)
+            .classicOnly()
+            .labelNames(*labels)
+            .register(registry)
 
     public companion object {
         /** Name in the service registry. */
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -0,0 +1,88 @@
+package anvilslip.policy
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** One backend server as the [Dispatcher] sees it: what it holds and what has been sent to it. */
+internal class DispatchServer(
+    var report: ServerReport,
+    private val options: DispatchOptions,
+) {
+    val places = LinkedHashMap<String, AdapterPlace>()
+    private val dropped = LinkedHashSet<String>()
+
+    /** Requests sent that have not ended. */
+    var running = 0
+
+    /** Prompt tokens sent that have not been read. */
+    var unread = 0
+
+    /** Tokens of memory that running requests take. */
+    var memory = 0
+
+    /** Orders the server has taken; null until it was asked. */
+    var orders: Long? = null
+    var avoidedUntil = Duration.ZERO
+    var ordersPausedUntil = Duration.ZERO
+    var isLoadingModel = false
+    var lastAnswer = Duration.ZERO
+
+    val isReady: Boolean get() = report.phase == ServerPhase.READY
+
+    /** Models that the server holds; places are kept apart, since reports of them come late. */
+    fun holds(model: String): Boolean = report.models.orEmpty().any { it.name == model }
+
+    fun wait(tokensPerMillisecond: Double): Duration = (unread / tokensPerMillisecond + running * BATCH_MILLIS).milliseconds
+
+    fun isWarm(adapter: String): Boolean = adapter in dropped
+
+    fun loading(now: Duration): Int = places.values.count { it.readyAt.let { ready -> ready == null || now < ready } }
+
+    /** The adapter to drop for another one: the idle one that was used longest ago; null when all are in use. */
+    fun victim(now: Duration): AdapterPlace? = places.values.filter { it.isIdle(now) }.minByOrNull { it.lastUse }
+
+    fun drop(adapter: String) {
+        places.remove(adapter)
+        dropped.remove(adapter)
+        dropped += adapter
+        while (dropped.size > options.warmAdapters) dropped.remove(dropped.first())
+    }
+
+    /** Takes over what the server says it holds, keeping counts of requests under way. */
+    fun survey(
+        survey: ServerSurvey,
+        now: Duration,
+    ) {
+        orders = survey.orders
+        val held = survey.models.flatMap { it.adapters.entries }.associate { it.key to it.value }
+        val pending =
+            survey.pending.values
+                .flatten()
+                .toSet() - held.keys
+        places.keys.retainAll(held.keys + pending)
+        for ((adapter, version) in held) {
+            val place = places.getOrPut(adapter) { AdapterPlace(adapter, version, now, now) }
+            place.version = version
+            place.readyAt = minOf(place.readyAt ?: now, now)
+        }
+        for (adapter in pending) {
+            val place = places.getOrPut(adapter) { AdapterPlace(adapter, null, null, now) }
+            place.readyAt = place.readyAt ?: (now + options.adapterLoad)
+        }
+        report = report.copy(models = survey.models)
+    }
+
+    /** The process was replaced by one that knows nothing of before. */
+    fun restart(next: ServerReport) {
+        report = next
+        places.clear()
+        dropped.clear()
+        orders = null
+        isLoadingModel = false
+    }
+
+    private companion object {
+        /** What a running request adds to the time of each step, spread over a prompt. */
+        const val BATCH_MILLIS = 0.5
+    }
+}
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
@@ -0,0 +1,93 @@
+package anvilslip.policy
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/**
+ * The backend servers as known from their reports. Soft state: reports may come late, twice, out of order or from a process
+ * that has ended, and by way of other instances. Not thread-safe.
+ */
+public class FleetTable {
+    /** What a report changed. */
+    public enum class Change {
+        /** It was old or contradicts newer knowledge. */
+        NONE,
+
+        /** The server is alive, and as it was. */
+        REFRESHED,
+
+        /** Others should hear of it at once. */
+        CHANGED,
+    }
+
+    private class Entry(
+        val report: ServerReport,
+        val heardAt: Duration,
+        val revision: Long,
+        val direct: Boolean,
+    )
+
+    private val entries = LinkedHashMap<String, Entry>()
+
+    /** Grows with each report that is taken in. */
+    public var revision: Long = 0
+        private set
+
+    /** Takes in [report]; [direct] when the server itself sent it here. */
+    public fun take(
+        report: ServerReport,
+        direct: Boolean,
+        now: Duration,
+    ): Change {
+        val known = entries[report.id]
+        if (known != null && !report.isAfter(known.report)) return Change.NONE
+        if (known != null && known.report.bornMillis == report.bornMillis && known.report.phase > report.phase) return Change.NONE
+        if (report.phase != ServerPhase.GONE && isSuperseded(report)) return Change.NONE
+        entries.values.removeAll {
+            it.report.address == report.address && it.report.id != report.id &&
+                report.bornMillis > it.report.bornMillis
+        }
+        entries[report.id] = Entry(report, now, ++revision, direct)
+        return if (known != null && known.report.sameAs(report)) Change.REFRESHED else Change.CHANGED
+    }
+
+    /** Takes in that the server [id] has signed off; [bornMillis] is used when it was not known. */
+    public fun signOff(
+        id: String,
+        bornMillis: Long,
+        now: Duration,
+    ): Change {
+        val known = entries[id]?.report
+        if (known?.phase == ServerPhase.GONE) return Change.NONE
+        val last = known ?: ServerReport(id, "", "", "", ServerPhase.READY, bornMillis)
+        return take(last.copy(phase = ServerPhase.GONE, sequence = Long.MAX_VALUE), direct = true, now)
+    }
+
+    /** Reports taken in after [since]; only those that servers sent here themselves when [directOnly]. */
+    public fun changesSince(
+        since: Long,
+        directOnly: Boolean,
+    ): List<ServerReport> = entries.values.filter { it.revision > since && (it.direct || !directOnly) }.map { it.report }
+
+    /** Servers that have not signed off and were heard within [silence]. */
+    public fun alive(
+        now: Duration,
+        silence: Duration,
+    ): List<ServerReport> = entries.values.filter { it.report.phase != ServerPhase.GONE && now - it.heardAt <= silence }.map { it.report }
+
+    /** The report of server [id], if it is known. */
+    public operator fun get(id: String): ServerReport? = entries[id]?.report
+
+    /** Forgets servers that have been silent for so long that no report of theirs can still be under way. */
+    public fun forgetOld(now: Duration) {
+        entries.values.removeAll { now - it.heardAt > RETENTION }
+    }
+
+    /** True when a server that started later has the address of [report]. */
+    private fun isSuperseded(report: ServerReport): Boolean =
+        entries.values.any { it.report.address == report.address && it.report.id != report.id && it.report.bornMillis > report.bornMillis }
+
+    private companion object {
+        val RETENTION = 10.minutes
+    }
+}
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/ModelProfile.kt
@@ -0,0 +1,11 @@
+package anvilslip.policy
+
+import kotlin.time.Duration
+
+/** A base model and the size of its adapters. */
+public data class ModelProfile(
+    val name: String,
+    val weightsMb: Double,
+    val loadTime: Duration,
+    val adapterMb: Double,
+)
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/RunningRequest.kt
@@ -0,0 +1,19 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package anvilslip.policy
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/** A request that runs at [server], as told to a new leader. */
+@Serializable
+public data class RunningRequest(
+    @CborLabel(1) val number: Long,
+    @CborLabel(2) val server: String,
+    @CborLabel(3) val model: String?,
+    @CborLabel(4) val adapter: String?,
+    /** Prompt tokens that may still have to be read. */
+    @CborLabel(5) val promptTokens: Int,
+    @CborLabel(6) val leftMillis: Long,
+)
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/ServeDecision.kt
@@ -0,0 +1,30 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package anvilslip.policy
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/** What the leader decided on a [ServeDemand]. */
+@Serializable
+public sealed interface ServeDecision {
+    /** Send it to [server], not before [holdMillis] have passed. */
+    @Serializable
+    @kotlinx.serialization.SerialName("send")
+    public data class Send(
+        @CborLabel(1) val server: String,
+        @CborLabel(2) val address: String,
+        @CborLabel(3) val holdMillis: Long = 0,
+        /** Version of the adapter that must run, where one was named. */
+        @CborLabel(4) val version: Long? = null,
+    ) : ServeDecision
+
+    /** Do not run it; [retryMillis] from now it may fare better. */
+    @Serializable
+    @kotlinx.serialization.SerialName("refuse")
+    public data class Refuse(
+        @CborLabel(1) val reason: ServeRefusal,
+        @CborLabel(2) val retryMillis: Long,
+    ) : ServeDecision
+}
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/ServeEvent.kt
@@ -0,0 +1,14 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package anvilslip.policy
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/** A step of request [number] at the entry instance that reports it. */
+@Serializable
+public data class ServeEvent(
+    @CborLabel(1) val number: Long,
+    @CborLabel(2) val step: ServeStep,
+)
--- a/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
@@ -19,6 +19,13 @@
 
     fun optionalText(key: String): String? = member(key)?.let { textOf(it) }
 
+    fun texts(key: String): List<String> {
+        val value = required(key) ?: return emptyList()
+        if (value is LocatedValue.Array) return value.items.mapNotNull { textOf(it) }
+        findings.add(value.place, "expected a list")
+        return emptyList()
+    }
+
     fun bool(
         key: String,
         default: Boolean,
--- a/state/src/main/kotlin/anvilslip/state/Command.kt
+++ b/state/src/main/kotlin/anvilslip/state/Command.kt
@@ -70,4 +70,25 @@
     public data class Pardon(
         val fingerprint: String,
     ) : Command
+
+    /** Puts [document] in force if its version is higher than the one in force. */
+    @Serializable
+    @SerialName("replace_document")
+    public data class ReplaceDocument(
+        val document: ConfigurationDocument,
+    ) : Command
+
+    /** Names [version] of [adapter] of [model] as the newest, unless a higher one is named. */
+    @Serializable
+    @SerialName("name_version")
+    public data class NameVersion(
+        val model: String,
+        val adapter: String,
+        val version: Long,
+    ) : Command
+
+    /** Changes nothing; its outcome proves that the state it is applied to is the newest. */
+    @Serializable
+    @SerialName("confirm")
+    public data object Confirm : Command
 }
--- a/state/src/main/kotlin/anvilslip/state/Outcome.kt
+++ b/state/src/main/kotlin/anvilslip/state/Outcome.kt
@@ -60,4 +60,18 @@
     @Serializable
     @SerialName("done")
     public data object Done : Outcome
+
+    /** The document is in force. */
+    @Serializable
+    @SerialName("document_in_force")
+    public data class DocumentInForce(
+        val version: Long,
+    ) : Outcome
+
+    /** A document with the same or a higher version, [inForce], came first; nothing changed. */
+    @Serializable
+    @SerialName("document_superseded")
+    public data class DocumentSuperseded(
+        val inForce: Long,
+    ) : Outcome
 }
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -29,6 +29,10 @@
     private val clock: Clock,
     private val options: ReplicaOptions = ReplicaOptions(),
     private val random: Random = Random.Default,
+    private val mayFound: Boolean = true,
+    private val onStorageFailure: () -> Unit = {},
+    /** Called on the replica's own thread with each state that is new here. */
+    private val onState: (ReplicatedState) -> Unit = {},
 ) : Service {
     override val name: String = NAME
 
@@ -67,7 +71,7 @@
     @OptIn(ExperimentalCoroutinesApi::class)
     override suspend fun start() {
         val recovered = storage.recover()
-        core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed())
+        core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed(), mayFound)
         publish()
         log.info("replica_started", "id" to core.id, "index" to core.lastIndex, "term" to core.term, "blank" to core.isBlank)
         scope = CoroutineScope(Dispatchers.IO.limitedParallelism(1, "replica"))
@@ -104,6 +108,7 @@
             log.error("replica_stepped_aside", "error" to e.message)
             view = ReplicaView(core.id)
             waiting.values.forEach { it.result.complete(ProposeError.Unknown.left()) }
+            onStorageFailure()
             for (input in inputs) refuse(input)
         }
     }
@@ -165,6 +170,7 @@
     }
 
     private fun publish() {
+        val before = view.state
         view =
             ReplicaView(
                 core.id,
@@ -177,6 +183,7 @@
                 core.state,
                 core.leaseUntil,
             )
+        if (core.state !== before) onState(core.state)
     }
 
     private fun notLeader() = ProposeError.NotLeader(view.leader?.instance)
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -8,8 +8,9 @@
  * One replica of the replicated log, after Raft: terms, pre-votes, a leader lease, membership changes of one replica at a
  * time and snapshots. Deterministic: it owns no thread, socket, file or clock. Each call returns the effects to carry out.
  *
- * @param members names of the instances that may hold a replica
+ * @param members names of the instances that may hold a replica, or with [ReplicaOptions.voterTarget] those that found the log
  * @param now monotonic time at start; a replica gives no vote until an election timeout after it
+ * @param mayFound false when a log exists already, so that this replica may only join it
  */
 public class ReplicaCore(
     public val id: ReplicaId,
@@ -18,6 +19,7 @@
     private val options: ReplicaOptions = ReplicaOptions(),
     private val random: Random,
     now: Duration,
+    private val mayFound: Boolean = true,
 ) {
     private val log = ReplicaLog(recovered)
     private var vote = recovered.vote
@@ -108,7 +110,7 @@
                 is ReplicaMessage.AppendReply -> onAppendReply(from, message, now)
                 is ReplicaMessage.Install -> onInstall(from, message, now)
                 is ReplicaMessage.Join -> onJoin(from, now)
-                is ReplicaMessage.Census -> send(from, ReplicaMessage.CensusReply(isBlank))
+                is ReplicaMessage.Census -> onCensus(from)
                 is ReplicaMessage.CensusReply -> onCensusReply(from, message)
                 is ReplicaMessage.Found -> if (isBlank && id in message.founders) startLog(message.founders)
             }
@@ -205,19 +207,28 @@
     private fun tickOutsider(now: Duration) {
         if (now < nextHeartbeat) return
         nextHeartbeat = now + options.census
-        for (member in members - id.instance) {
+        for (member in members + voters.map { it.instance } - id.instance) {
             val unknown = ReplicaId(member, "")
-            if (isBlank) send(unknown, ReplicaMessage.Census())
+            if (isBlank && mayFound) send(unknown, ReplicaMessage.Census())
             send(unknown, ReplicaMessage.Join())
         }
-        if (isBlank && members == setOf(id.instance)) startLog(setOf(id))
+        if (isBlank && mayFound && members == setOf(id.instance)) startLog(setOf(id))
+    }
+
+    /** A founder that is blank under its first identity has stored nothing, so it missed the founding and may be told again. */
+    private fun onCensus(from: ReplicaId) {
+        send(from, ReplicaMessage.CensusReply(isBlank))
+        if (!isBlank && log.firstIndex == 1L && log.lastIndex >= 1L) {
+            val founders = (log.entry(1).payload as? Payload.Membership)?.voters.orEmpty()
+            if (from in founders) send(from, ReplicaMessage.Found(founders))
+        }
     }
 
     private fun onCensusReply(
         from: ReplicaId,
         reply: ReplicaMessage.CensusReply,
     ) {
-        if (!isBlank) return
+        if (!isBlank || !mayFound) return
         blankPeers.removeAll { it.instance == from.instance }
         if (reply.blank) blankPeers += from
         val all = blankPeers + id
@@ -243,6 +254,7 @@
         request: ReplicaMessage.VoteRequest,
         now: Duration,
     ) {
+        if (role == ReplicaRole.LEADER && from !in voters) onJoin(from, now)
         val leaderIsFresh = now - lastLeaderContact < options.electionTimeout || holdsLease(now)
         val upToDate = LogPosition(request.lastTerm, request.lastIndex) >= LogPosition(log.lastTerm, log.lastIndex)
         val mayVote = !isBlank && !leaderIsFresh && upToDate && request.term >= term
@@ -501,23 +513,44 @@
         from: ReplicaId,
         now: Duration,
     ) {
-        if (role != ReplicaRole.LEADER || from in voters || from.instance !in members) return
+        if (role != ReplicaRole.LEADER || from in voters) return
+        if (options.voterTarget == null && from.instance !in members) return
         joining[from] = now
         val state = progress.getOrPut(from) { Progress(next = log.lastIndex + 1, lastReply = now) }
         sendEntries(from, state, now)
     }
 
-    /** Swaps a replica that holds everything committed for the lost one of the same instance, one change at a time. */
+    /** Takes in a replica that holds everything committed or drops a lost one, one change at a time. */
     private fun promoteJoined(now: Duration) {
         if (role != ReplicaRole.LEADER || log.latestMembershipIndex() > commit || log.termAt(commit) != term) return
         joining.entries.removeAll { now - it.value > JOIN_TIMEOUT }
-        val ready = joining.keys.firstOrNull { (progress[it]?.match ?: 0) >= commit } ?: return
-        val lost = voters.firstOrNull { it.instance == ready.instance }
-        val next = if (lost == null) voters + ready else voters - lost
-        if (lost == null) joining.remove(ready)
+        val ready = joining.keys.filter { (progress[it]?.match ?: 0) >= commit }
+        val next = nextVoters(ready, now) ?: return
+        joining.keys.removeAll(next)
         appendAsLeader(listOf(Payload.Membership(next)), now)
     }
 
+    private fun nextVoters(
+        ready: List<ReplicaId>,
+        now: Duration,
+    ): Set<ReplicaId>? {
+        val target = options.voterTarget
+        val returned = ready.firstOrNull { candidate -> voters.any { it.instance == candidate.instance } }
+        if (returned != null) return voters.filter { it.instance != returned.instance || it == id }.toSet()
+        if (target == null) return ready.firstOrNull()?.let { voters + it }
+        val lost = voters.firstOrNull { it != id && isLost(it, now) }
+        return when {
+            voters.size > target -> lost?.let { voters - it }
+            voters.size < target || lost != null -> ready.firstOrNull()?.let { voters + it }
+            else -> null
+        }
+    }
+
+    private fun isLost(
+        replica: ReplicaId,
+        now: Duration,
+    ): Boolean = progress[replica]?.let { now - it.lastReply > options.replaceAfter } ?: false
+
     private companion object {
         const val MAX_ROUNDS = 64
         val JOIN_TIMEOUT = 5_000.milliseconds
--- a/state/src/main/kotlin/anvilslip/state/ReplicaOptions.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaOptions.kt
@@ -18,6 +18,10 @@
     val snapshotResend: Duration = 2000.milliseconds,
     /** Entries after which a snapshot is taken. */
     val snapshotEvery: Int = 4_000,
+    /** How many replicas vote where any instance may join; null where the members are listed and all of them vote. */
+    val voterTarget: Int? = null,
+    /** Silence after which a joined replica takes the place of a voter. */
+    val replaceAfter: Duration = 2000.milliseconds,
 ) {
     /** How long after sending a confirmed round the leader may act alone. */
     public val leaderLease: Duration get() = electionTimeout * (1.0 - clockDrift) - heartbeat
--- a/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
@@ -17,6 +17,11 @@
     private val claimOrder: ExpiryQueue<ClaimAge> = ExpiryQueue(),
     val buckets: SerialPersistentMap<String, BucketCheckpoint> = persistentMapOf(),
     val suspects: SerialPersistentMap<String, Suspect> = persistentMapOf(),
+    val document: ConfigurationDocument? = null,
+    /** The newest version of each adapter for which one was named. */
+    val namedVersions: SerialPersistentMap<AdapterName, Long> = persistentMapOf(),
+    /** Grows with each change of [namedVersions]. */
+    val namedRevision: Long = 0,
 ) {
     /** The state after [command], carried out at [atMillis] since the epoch, and its outcome. */
     public fun after(
@@ -32,8 +37,23 @@
             is Command.Blame -> blame(command, atMillis)
             is Command.Acquit -> acquit(command)
             is Command.Pardon -> Transition(copy(suspects = suspects.remove(command.fingerprint)), Outcome.Done)
+            is Command.ReplaceDocument -> replaceDocument(command.document)
+            is Command.NameVersion -> nameVersion(command)
+            is Command.Confirm -> Transition(this, Outcome.Done)
         }
 
+    private fun replaceDocument(next: ConfigurationDocument): Transition {
+        val inForce = document?.version
+        if (inForce != null && next.version <= inForce) return Transition(this, Outcome.DocumentSuperseded(inForce))
+        return Transition(copy(document = next), Outcome.DocumentInForce(next.version))
+    }
+
+    private fun nameVersion(command: Command.NameVersion): Transition {
+        val name = AdapterName(command.model, command.adapter)
+        if ((namedVersions[name] ?: 0) >= command.version) return Transition(this, Outcome.Done)
+        return Transition(copy(namedVersions = namedVersions.put(name, command.version), namedRevision = namedRevision + 1), Outcome.Done)
+    }
+
     private fun configure(command: Command.Configure): Transition {
         outcomes[command.requestId]?.let { return Transition(this, it) }
         val expected = command.expectedRevision
--- a/wire/src/main/kotlin/anvilslip/wire/PeerConnection.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerConnection.kt
@@ -70,11 +70,11 @@
             return PeerConnection(socket, input, output, peer)
         }
 
-        /** Proves to the other end that this is [self] and checks that it is one of [allowed]. */
+        /** Proves to the other end that this is [self] and checks that [allows] lets it in. */
         suspend fun accept(
             socket: Socket,
             self: String,
-            allowed: Set<String>,
+            allows: (peer: String) -> Boolean,
             handshake: Handshake,
         ): PeerConnection {
             val input = socket.openReadChannel()
@@ -83,7 +83,7 @@
             if (version != Handshake.VERSION) throw IOException("peer protocol $version is not ${Handshake.VERSION}")
             val peer = input.readName()
             val peerNonce = input.readByteArray(Handshake.NONCE_BYTES)
-            if (peer !in allowed) throw IOException("unknown peer")
+            if (!allows(peer)) throw IOException("unknown peer")
             val nonce = nonce()
             output.writeName(self)
             output.writeByteArray(nonce)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -7,14 +7,22 @@
 import anvilslip.policy.AdapterVersion
 import anvilslip.policy.Announcement
 import anvilslip.policy.Decision
+import anvilslip.policy.EntryInstance
 import anvilslip.policy.FleetView
 import anvilslip.policy.Grant
 import anvilslip.policy.InstanceView
+import anvilslip.policy.RunningRequest
+import anvilslip.policy.ServeDecision
+import anvilslip.policy.ServeDemand
+import anvilslip.policy.ServeEvent
+import anvilslip.policy.ServerReport
 import anvilslip.policy.Usage
 import anvilslip.policy.Use
+import anvilslip.state.AdapterName
 import anvilslip.state.Change
 import anvilslip.state.Command
 import anvilslip.state.Configuration
+import anvilslip.state.ConfigurationDocument
 import anvilslip.state.Outcome
 import anvilslip.state.ProposeError
 import anvilslip.state.ReplicaId
@@ -189,4 +197,72 @@
     public data class Failed(
         val reason: String,
     ) : PeerMessage
+
+    /** Asks a control instance for what has changed; answered at once when there is something, else after [waitMillis]. */
+    @Serializable
+    @SerialName("watch")
+    public data class Watch(
+        /** The asking entry instance, or null when a control instance asks. */
+        @CborLabel(1) val entry: EntryInstance? = null,
+        @CborLabel(2) val documentVersion: Long = -1,
+        @CborLabel(3) val namedRevision: Long = -1,
+        /** Incarnation of the asked instance that [fleetRevision] belongs to. */
+        @CborLabel(4) val incarnation: String = "",
+        @CborLabel(5) val fleetRevision: Long = 0,
+        @CborLabel(6) val waitMillis: Long = 0,
+    ) : PeerMessage
+
+    /** Answers [Watch]; what is null or empty has not changed. */
+    @Serializable
+    @SerialName("watch_reply")
+    public data class WatchReply(
+        @CborLabel(1) val incarnation: String,
+        @CborLabel(2) val fleetRevision: Long,
+        @CborLabel(3) val servers: List<ServerReport> = emptyList(),
+        @CborLabel(4) val document: ConfigurationDocument? = null,
+        @CborLabel(5) val namedVersions: Map<AdapterName, Long>? = null,
+        @CborLabel(6) val namedRevision: Long = -1,
+        /** Hosts of the control instances that the asked one knows. */
+        @CborLabel(7) val controls: Set<String> = emptySet(),
+        @CborLabel(8) val leader: String? = null,
+        @CborLabel(9) val term: Long = 0,
+        /** How many entry instances are known to be up. */
+        @CborLabel(10) val entries: Int = 1,
+    ) : PeerMessage
+
+    /** Asks the leader for a server for one request. */
+    @Serializable
+    @SerialName("admit")
+    public data class Admit(
+        @CborLabel(1) val demand: ServeDemand,
+    ) : PeerMessage
+
+    /** Answers [Admit]. */
+    @Serializable
+    @SerialName("admit_reply")
+    public data class AdmitReply(
+        @CborLabel(1) val term: Long,
+        @CborLabel(2) val decision: ServeDecision,
+    ) : PeerMessage
+
+    /** What became of requests that the leader admitted; [running] lists all that run when the leader is new to the sender. */
+    @Serializable
+    @SerialName("progress")
+    public data class Progress(
+        @CborLabel(1) val entry: String,
+        @CborLabel(2) val events: List<ServeEvent> = emptyList(),
+        @CborLabel(3) val running: List<RunningRequest> = emptyList(),
+    ) : PeerMessage
+
+    /** Asks the leader for the newest document; the answer is certain to be the newest at some moment after the question. */
+    @Serializable
+    @SerialName("read_document")
+    public data object ReadDocument : PeerMessage
+
+    /** Answers [ReadDocument]; null when none was ever accepted. */
+    @Serializable
+    @SerialName("document_reply")
+    public data class DocumentReply(
+        @CborLabel(1) val document: ConfigurationDocument?,
+    ) : PeerMessage
 }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
@@ -39,6 +40,7 @@
     private val clock: Clock,
     private val stamps: HybridClock,
     private val options: PeerOptions = PeerOptions(),
+    private val accepts: (peer: String) -> Boolean = { it in peers },
     private val onBytes: (sent: Int, received: Int) -> Unit = { _, _ -> },
 ) : Service {
     override val name: String = NAME
@@ -47,7 +49,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val callNumbers = AtomicLong()
-    private val links = peers.mapValues { (peer, address) -> link(peer, address) }
+    private val links = ConcurrentHashMap(peers.mapValues { (peer, address) -> link(peer, address) })
     private var server: ServerSocket? = null
 
     /** Answers incoming messages; set before [start]. */
@@ -64,6 +66,16 @@
         scope.launch { watchSilence() }
     }
 
+    /** Keeps a connection to [peer] at [address] from now on; does nothing when there is one already. */
+    public fun connectTo(
+        peer: String,
+        address: PeerAddress,
+    ) {
+        if (peer == self || links.containsKey(peer)) return
+        val link = link(peer, address)
+        if (links.putIfAbsent(peer, link) == null) scope.launch { link.run() }
+    }
+
     override suspend fun stop() {
         scope.coroutineContext[Job]?.cancelAndJoin()
         server?.close()
@@ -78,7 +90,7 @@
         if (peer == self) {
             scope.launch { handler.handle(self, message) }
         } else {
-            links[peer]?.send(Frame(0, false, stamps.next(), message))
+            links[peer]?.send(Frame(NO_CALL, false, stamps.next(), message))
         }
     }
 
@@ -136,7 +148,7 @@
         try {
             val connection =
                 withTimeout(options.connectTimeout) {
-                    closingOnFailure(socket) { PeerConnection.accept(socket, self, peers.keys, handshake) }
+                    closingOnFailure(socket) { PeerConnection.accept(socket, self, accepts, handshake) }
                 }
             serve(connection)
         } catch (e: CancellationException) {
@@ -160,11 +172,20 @@
                 when (frame.message) {
                     is PeerMessage.Replica -> handler.handle(connection.peer, frame.message)
                     is PeerMessage.Ping -> answers.send(Frame(frame.call, true, stamps.next(), PeerMessage.Ack))
-                    else -> launch { answers.send(answer(connection.peer, frame)) }
+                    else -> launch { serve(connection.peer, frame, answers) }
                 }
             }
         }
 
+    private suspend fun serve(
+        peer: String,
+        frame: Frame,
+        answers: Channel<Frame>,
+    ) {
+        val answer = answer(peer, frame)
+        if (frame.call != NO_CALL) answers.send(answer)
+    }
+
     private suspend fun answer(
         peer: String,
         frame: Frame,
@@ -207,5 +228,6 @@
         /** Name in the service registry. */
         public const val NAME: String = "peers"
         private const val CHECKS_PER_SILENCE = 4
+        private const val NO_CALL = 0L
     }
 }
