--- a/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
@@ -26,6 +26,7 @@
 import anvilslip.policy.InstanceView
 import anvilslip.policy.PlacementOptions
 import anvilslip.settings.Settings
+import anvilslip.state.RecoveringStorage
 import anvilslip.state.Replica
 import anvilslip.state.ReplicaTransport
 import anvilslip.wire.PeerAddress
@@ -123,13 +124,18 @@
         )
 
     private fun replica(folder: Path): Replica {
-        val storage = RecoveringStorage(folder, timeline) { metrics.syncs.inc() }
+        val storage = RecoveringStorage(folder, ::noteDamage) { metrics.syncs.inc() }
         lateinit var replica: Replica
         val transport = ReplicaTransport { to, message -> network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message)) }
         replica = Replica(settings.instance, settings.replicas, storage, transport, clock)
         return replica
     }
 
+    private fun noteDamage(
+        reason: String?,
+        keptIn: Path,
+    ) = timeline.record(EventKind.REPLICA_DAMAGED, cause = reason, fields = mapOf("kept_in" to keptIn.toString()))
+
     private fun callerHandler(): CallerHandler {
         val authenticator = Authenticator(control)
         val requests = settings.requests
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -14,7 +14,7 @@
 import anvilslip.policy.RetryBudget
 import anvilslip.settings.Address
 import anvilslip.settings.GatewaySettings
-import anvilslip.state.FileStorage
+import anvilslip.state.RecoveringStorage
 import anvilslip.state.Replica
 import anvilslip.state.ReplicaOptions
 import anvilslip.state.ReplicaTransport
@@ -24,6 +24,7 @@
 import anvilslip.wire.PeerNetwork
 import anvilslip.wire.PeerOptions
 import kotlinx.coroutines.delay
+import java.nio.file.Path
 import java.util.UUID
 import kotlin.io.path.readBytes
 import kotlin.system.exitProcess
@@ -140,7 +141,7 @@
             Replica(
                 instance = settings.host,
                 members = settings.seeds,
-                storage = FileStorage(settings.dataFolder!!) { metrics.syncs.inc() },
+                storage = RecoveringStorage(settings.dataFolder!!, ::noteDamage) { metrics.syncs.inc() },
                 transport = transport,
                 clock = clock,
                 options = ReplicaOptions(voterTarget = voters, snapshotEvery = SNAPSHOT_EVERY, keptEntries = KEPT_ENTRIES),
@@ -154,6 +155,11 @@
         return replica
     }
 
+    private fun noteDamage(
+        reason: String?,
+        keptIn: Path,
+    ) = log.error("storage_damaged", "reason" to reason, "kept_in" to keptIn)
+
     private fun installEntry(address: Address) {
         val progress = kernel.install(ProgressReporter(settings.host, network, knowledge))
         val local = LocalDispatch(knowledge, progress::runningOn)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -194,15 +194,18 @@
         current: Tenure,
         order: LoadOrder,
     ) {
-        var expected = order.expectedOrders
-        if (order.evict != null) {
-            val evict = EngineOrder(order.server, order.address, false, order.model, order.evict, null, expected)
+        val steps = synchronized(lock) { current.dispatcher.stepsOf(order) } ?: return failed(current, order)
+        var taken = steps.ordersTaken
+        val evicted = steps.evict
+        if (evicted != null) {
+            val evict = EngineOrder(order.server, order.address, false, order.model, evicted, null, taken)
             if (give(current, evict) != OrderReply.HOLDS) return failed(current, order)
-            expected++
+            taken++
+            synchronized(lock) { current.dispatcher.evicted(order, evicted, taken) }
         }
-        val load = EngineOrder(order.server, order.address, true, order.model, order.adapter, order.version, expected)
+        val load = EngineOrder(order.server, order.address, true, order.model, order.adapter, order.version, taken)
         if (give(current, load) != OrderReply.TAKEN) return failed(current, order)
-        synchronized(lock) { current.dispatcher.loadStarted(order, expected + 1, clock.elapsed()) }
+        synchronized(lock) { current.dispatcher.loadStarted(order, taken + 1, clock.elapsed()) }
     }
 
     private fun failed(
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -55,9 +55,9 @@
             able.minByOrNull { runningOn(it.id) + if (it.zone == demand.zone) 0.0 else OTHER_ZONE }
                 ?: return ServeDecision.Refuse(ServeRefusal.LOADING, RETRY.inWholeMilliseconds)
         val bucket = demand.workspace?.let { bucket(it, now) }
-        if (bucket != null && !bucket.spend(demand.charge.toDouble(), now)) {
-            return ServeDecision.Refuse(ServeRefusal.OVER_LIMIT, bucket.wait(demand.charge.toDouble()).inWholeMilliseconds.coerceAtLeast(1))
-        }
+        val wait = bucket?.wait(demand.charge.toDouble(), now) ?: Duration.ZERO
+        if (wait.isPositive()) return ServeDecision.Refuse(ServeRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
+        bucket?.spend(demand.charge.toDouble(), now)
         return ServeDecision.Send(best.id, best.address, version = version(demand))
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -31,6 +31,8 @@
     val memoryShare: Double = 0.9,
     /** Share of a request's target that waiting may take. */
     val waitShare: Double = 0.85,
+    /** Share of a request's target that it may wait for tokens of its workspace to flow in. */
+    val limitWaitShare: Double = 0.5,
     /** How long a server that could not be reached is passed over. */
     val unreachablePause: Duration = 1000.milliseconds,
     /** How long a new leader gives no orders, so that those of the one before have ended. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -1,5 +1,6 @@
 package anvilslip.policy
 
+import anvilslip.policy.AdapterPlace.State
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -36,7 +37,7 @@
 
     fun isWarm(adapter: String): Boolean = adapter in dropped
 
-    fun loading(now: Duration): Int = places.values.count { it.readyAt.let { ready -> ready == null || now < ready } }
+    fun loading(now: Duration): Int = places.values.count { it.isLoading(now) }
 
     /** The adapter to drop for another one: the idle one that was used longest ago; null when all are in use. */
     fun victim(now: Duration): AdapterPlace? = places.values.filter { it.isIdle(now) }.minByOrNull { it.lastUse }
@@ -59,19 +60,27 @@
             survey.pending.values
                 .flatten()
                 .toSet() - held.keys
-        places.keys.retainAll(held.keys + pending)
-        for ((adapter, version) in held) {
-            val place = places.getOrPut(adapter) { AdapterPlace(adapter, version, now, now) }
-            place.version = version
-            place.readyAt = minOf(place.readyAt ?: now, now)
-        }
-        for (adapter in pending) {
-            val place = places.getOrPut(adapter) { AdapterPlace(adapter, null, null, now) }
-            place.readyAt = place.readyAt ?: (now + options.adapterLoad)
-        }
+        places.values.removeAll { it.state != State.RESERVED && it.adapter !in held && it.adapter !in pending }
+        for ((adapter, version) in held) keep(adapter, version, now, now)
+        for (adapter in pending) keep(adapter, null, now + options.adapterLoad, now)
         report = report.copy(models = survey.models)
     }
 
+    private fun keep(
+        adapter: String,
+        version: Long?,
+        readyAt: Duration,
+        now: Duration,
+    ) {
+        val place = places.getOrPut(adapter) { AdapterPlace(adapter, State.LOADED, version, readyAt, now) }
+        if (place.state == State.RESERVED) place.state = State.LOADED
+        place.version = version ?: place.version
+        place.readyAt = minOf(place.readyAt, readyAt)
+    }
+
+    /** Adapters that take a place on the server itself. */
+    val taken: Int get() = places.values.count { it.state != State.RESERVED }
+
     /** The process was replaced by one that knows nothing of before. */
     fun restart(next: ServerReport) {
         report = next
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -1,5 +1,6 @@
 package anvilslip.policy
 
+import anvilslip.policy.AdapterPlace.State
 import anvilslip.state.AdapterName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -113,42 +114,45 @@
         demand: ServeDemand,
         now: Duration,
     ): Admission {
-        val bucket = demand.workspace?.let { buckets[it] }
-        if (bucket != null && demand.charge > 0 && !bucket.spend(demand.charge.toDouble(), now)) {
-            return refuse(ServeRefusal.OVER_LIMIT, bucket.wait(demand.charge.toDouble()))
-        }
-        val admission = place(demand, now)
+        val bucket = demand.workspace?.takeIf { demand.charge > 0 }?.let { buckets[it] }
+        val charge = demand.charge.toDouble()
+        val wait = bucket?.wait(charge, now) ?: Duration.ZERO
+        val patience = demand.targetMillis.milliseconds * options.limitWaitShare
+        if (wait > patience) return refuse(ServeRefusal.OVER_LIMIT, wait - patience / 2)
+        val admission = place(demand, now, wait)
         val sent = (admission as? Admission.Decided)?.decision is ServeDecision.Send
-        if (!sent) bucket?.refund(demand.charge.toDouble())
+        if (sent) bucket?.spend(charge, now)
         return admission
     }
 
     private fun place(
         demand: ServeDemand,
         now: Duration,
+        limitWait: Duration,
     ): Admission {
         val all = servers.values.filter { it.report.service == demand.service && it.isReady && it.report.id !in demand.exclude }
         val up = all.filter { now >= it.avoidedUntil }.ifEmpty { all }
         if (up.isEmpty()) return refuse(ServeRefusal.NO_SERVER, NO_SERVER_RETRY)
-        val model = demand.model ?: return placePlain(demand, up, now)
+        val model = demand.model ?: return placePlain(demand, up, limitWait, now)
         val holders = up.filter { it.holds(model) }
         if (holders.isEmpty()) return refuse(ServeRefusal.LOADING, MODEL_RETRY)
         val roomy = holders.filter { hasMemory(it, demand) }
         if (roomy.isEmpty()) return refuse(ServeRefusal.BUSY, BUSY_RETRY)
-        val adapter = demand.adapter ?: return send(demand, fastest(roomy, demand), Duration.ZERO, null, now)
-        return placeAdapter(demand, model, adapter, roomy, now)
+        val adapter = demand.adapter ?: return send(demand, fastest(roomy, demand), limitWait, null, now)
+        return placeAdapter(demand, model, adapter, roomy, limitWait, now)
     }
 
     private fun placePlain(
         demand: ServeDemand,
         up: List<DispatchServer>,
+        limitWait: Duration,
         now: Duration,
     ): Admission {
         val best = up.minBy { cost(it, demand) }
         val queued = best.running - best.report.slots + 1
         val wait = if (queued <= 0) Duration.ZERO else options.serviceTime * queued / best.report.slots
         if (wait > demand.targetMillis.milliseconds * options.waitShare) return refuse(ServeRefusal.BUSY, wait / 2)
-        return send(demand, best, Duration.ZERO, null, now)
+        return send(demand, best, limitWait, null, now)
     }
 
     private fun placeAdapter(
@@ -156,6 +160,7 @@
         model: String,
         adapter: String,
         up: List<DispatchServer>,
+        limitWait: Duration,
         now: Duration,
     ): Admission {
         val version = named[AdapterName(model, adapter)]
@@ -165,8 +170,8 @@
         val loadCost = loader?.let { cost(it, demand) + loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holdCost <= loadCost + options.copyThreshold) {
             val place = holder.places.getValue(adapter)
-            val readyAt = place.readyAt ?: return Admission.AwaitOrder(holder.report.id, adapter)
-            return send(demand, holder, readyAt - now, version, now)
+            if (place.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
+            return send(demand, holder, maxOf(place.readyAt - now, limitWait), version, now)
         }
         if (loader == null) return refuse(ServeRefusal.LOADING, options.adapterLoad)
         if (isTooLate(loadCost, demand)) return refuse(ServeRefusal.BUSY, retryAfter(loadCost, demand))
@@ -177,7 +182,7 @@
         server: DispatchServer,
         adapter: String,
         version: Long?,
-    ): Boolean = server.places[adapter]?.let { version == null || (it.version ?: 0) >= version } ?: false
+    ): Boolean = server.places[adapter]?.let { it.state != State.LEAVING && (version == null || (it.version ?: 0) >= version) } ?: false
 
     /** The server on which [adapter] would be loaded: where it can be had soonest. */
     private fun loader(
@@ -236,10 +241,33 @@
                 .adapterSlots
         val stale = server.places[adapter]
         val evict = if (stale == null && server.places.size >= slots) server.victim(now) else null
-        evict?.readyAt = null
-        stale?.readyAt = null
-        server.places.getOrPut(adapter) { AdapterPlace(adapter, null, null, now) }.lastUse = now
-        return LoadOrder(server.report.id, server.report.address, model, adapter, version, evict?.adapter, checkNotNull(server.orders))
+        evict?.state = State.LEAVING
+        val place = server.places.getOrPut(adapter) { AdapterPlace(adapter, State.RESERVED, null, now, now) }
+        place.state = State.RESERVED
+        place.version = version
+        place.lastUse = now
+        return LoadOrder(server.report.id, server.report.address, model, adapter, version, evict?.adapter)
+    }
+
+    /** What is to be ordered for [order] now; null when it can no longer be carried out. */
+    public fun stepsOf(order: LoadOrder): LoadSteps? {
+        val server = servers[order.server] ?: return null
+        val slots = configuration.services[server.report.service]?.engine?.adapterSlots ?: return null
+        val orders = server.orders ?: return null
+        val evict = order.evict?.takeIf { it in server.places }
+        val others = server.taken - (if (evict == null) 0 else 1)
+        return if (others < slots && order.adapter in server.places) LoadSteps(orders, evict) else null
+    }
+
+    /** The server of [order] has dropped [adapter] and has taken [orders]. */
+    public fun evicted(
+        order: LoadOrder,
+        adapter: String,
+        orders: Long,
+    ) {
+        val server = servers[order.server] ?: return
+        server.orders = orders
+        server.drop(adapter)
     }
 
     /** [order] was taken by its server; [orders] is what the server has taken with it. */
@@ -249,13 +277,12 @@
         now: Duration,
     ) {
         val server = servers[order.server] ?: return
-        val warm = server.isWarm(order.adapter)
         val loads = coldLoads(now)
         server.orders = orders
-        order.evict?.let(server::drop)
-        val place = server.places[order.adapter] ?: return
         val slowdown = maxOf(1.0, loads.toDouble() / concurrentLoads(servers.values.count(::isEngine)))
-        val time = if (warm) options.warmAdapterLoad else options.adapterLoad * slowdown
+        val time = if (server.isWarm(order.adapter)) options.warmAdapterLoad else options.adapterLoad * slowdown
+        val place = server.places.getOrPut(order.adapter) { AdapterPlace(order.adapter, State.LOADED, null, now, now) }
+        place.state = State.LOADED
         place.version = order.version
         place.readyAt = now + time + options.loadMargin
     }
@@ -268,10 +295,8 @@
         val server = servers[order.server] ?: return
         server.orders = null
         server.ordersPausedUntil = now + options.failedOrderPause
-        server.places.values.removeAll { it.readyAt == null && it.inUse == 0 && it.adapter == order.adapter }
-        server.places.values
-            .filter { it.readyAt == null }
-            .forEach { it.readyAt = now }
+        if (server.places[order.adapter]?.state == State.RESERVED) server.places.remove(order.adapter)
+        order.evict?.let { server.places[it] }?.let { it.state = State.LOADED }
     }
 
     /** A base model to load on an engine that holds none, if one is due. */
@@ -472,7 +497,16 @@
         server: DispatchServer,
         adapter: String,
         now: Duration,
-    ): Duration = ((server.places.getValue(adapter).readyAt ?: (now + options.adapterLoad)) - now).coerceAtLeast(Duration.ZERO)
+    ): Duration =
+        server.places.getValue(adapter).let {
+            if (it.state ==
+                State.RESERVED
+            ) {
+                options.adapterLoad
+            } else {
+                (it.readyAt - now).coerceAtLeast(Duration.ZERO)
+            }
+        }
 
     private fun loadTime(
         server: DispatchServer,
--- a/policy/src/main/kotlin/anvilslip/policy/LoadOrder.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadOrder.kt
@@ -8,6 +8,4 @@
     val adapter: String,
     val version: Long?,
     val evict: String?,
-    /** Orders that the server must have taken before this one. */
-    val expectedOrders: Long,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -29,15 +29,23 @@
         level = minOf(level, burst)
     }
 
-    /** Spends [tokens] if so many are there. A request larger than the burst passes when the bucket is full. */
+    /** How long a request of [tokens] must be held back so that it stays within the limit; one larger than the burst needs a full bucket. */
+    public fun wait(
+        tokens: Double,
+        now: Duration,
+    ): Duration {
+        refill(now)
+        val missing = minOf(tokens, burst) - level
+        return if (missing <= 0) Duration.ZERO else (missing / rate).seconds
+    }
+
+    /** Spends [tokens], which may leave a debt that later requests wait for. */
     public fun spend(
         tokens: Double,
         now: Duration,
-    ): Boolean {
+    ) {
         refill(now)
-        if (level < minOf(tokens, burst)) return false
         level -= tokens
-        return true
     }
 
     /** Gives back [tokens] of a request that did not run. */
@@ -45,12 +53,6 @@
         level = minOf(burst, level + tokens)
     }
 
-    /** When [tokens] will be there. */
-    public fun wait(tokens: Double): Duration {
-        val missing = minOf(tokens, burst) - level
-        return if (missing <= 0) Duration.ZERO else (missing / rate).seconds
-    }
-
     private fun refill(now: Duration) {
         level = minOf(burst, level + rate * (now - refilledAt).toDouble(DurationUnit.SECONDS))
         refilledAt = now
--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -109,10 +109,9 @@
 
     private fun append(records: List<StoredRecord>) {
         val channel = checkNotNull(log) { "storage is closed" }
-        val frames = records.map { ByteBuffer.wrap(RecordCodec.encode(StoredRecord.serializer(), it)) }
-        for (frame in frames) {
-            while (frame.hasRemaining()) channel.write(frame)
-        }
+        // One write, so that only a prefix of it can be there after a loss of power.
+        val frames = ByteBuffer.wrap(records.map { RecordCodec.encode(StoredRecord.serializer(), it) }.fold(ByteArray(0), ByteArray::plus))
+        while (frames.hasRemaining()) channel.write(frames)
         channel.force(false)
         onSync()
     }
--- a/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
@@ -54,7 +54,7 @@
         if (!headerHolds) return if (isZero(bytes)) Decoded.Torn else Decoded.Damaged
         if (bytes.remaining() - HEADER_BYTES < length) return Decoded.Torn
         val body = ByteArray(length).also { bytes.get(start + HEADER_BYTES, it) }
-        if (checksum(body) != bytes.getInt(start + Int.SIZE_BYTES)) return Decoded.Damaged
+        if (checksum(body) != bytes.getInt(start + Int.SIZE_BYTES)) return if (isTornLast(bytes, body)) Decoded.Torn else Decoded.Damaged
         bytes.position(start + HEADER_BYTES + length)
         return decodeBody(serializer, body)
     }
@@ -71,6 +71,15 @@
             Decoded.Damaged
         }
 
+    /**
+     * True when the last record of the file ends in zeros: the length reached the disk before the data did. No record ends so
+     * when it is whole, since the CBOR of a class closes with a break.
+     */
+    private fun isTornLast(
+        bytes: ByteBuffer,
+        body: ByteArray,
+    ): Boolean = bytes.remaining() == HEADER_BYTES + body.size && body.lastOrNull() == 0.toByte()
+
     private fun isZero(bytes: ByteBuffer): Boolean = (bytes.position() until bytes.limit()).all { bytes.get(it) == 0.toByte() }
 
     private fun checksum(body: ByteArray): Int = CRC32C().apply { update(body) }.value.toInt()
--- a/daemon/src/main/kotlin/anvilslip/daemon/RecoveringStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
@@ -1,21 +1,16 @@
-package anvilslip.daemon
+package anvilslip.state
 
-import anvilslip.kernel.EventKind
-import anvilslip.kernel.Timeline
-import anvilslip.state.FileStorage
-import anvilslip.state.LogEntry
-import anvilslip.state.Recovered
-import anvilslip.state.ReplicaOutput
-import anvilslip.state.Snapshot
-import anvilslip.state.Storage
-import anvilslip.state.StorageException
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** Storage that sets a damaged folder aside, so that the replica comes back as a new member and never under its old identity. */
-internal class RecoveringStorage(
+/**
+ * Storage that sets a damaged folder aside, so that the replica comes back as a new member and never under its old identity.
+ *
+ * @param onDamage called with the reason and the place where the damaged files are kept
+ */
+public class RecoveringStorage(
     private val folder: Path,
-    private val timeline: Timeline,
+    private val onDamage: (reason: String?, keptIn: Path) -> Unit,
     private val onSync: () -> Unit,
 ) : Storage {
     private var storage = FileStorage(folder, onSync)
@@ -42,6 +37,6 @@
         storage.close()
         val aside = folder.resolveSibling("${folder.fileName}.damaged-${System.nanoTime()}")
         Files.move(folder, aside)
-        timeline.record(EventKind.REPLICA_DAMAGED, cause = reason.message, fields = mapOf("kept_in" to aside.toString()))
+        onDamage(reason.message, aside)
     }
 }
--- a/state/src/main/kotlin/anvilslip/state/ReplicaLog.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaLog.kt
@@ -31,8 +31,9 @@
         limit: Int,
     ): List<LogEntry> {
         val start = (index - firstIndex).toInt()
-        val end = minOf(entries.size, start + limit)
-        return if (start >= end) emptyList() else entries.subList(start, end).toList()
+        if (start >= entries.size) return emptyList()
+        val end = start + minOf(entries.size - start, limit)
+        return entries.subList(start, end).toList()
     }
 
     fun append(added: List<LogEntry>) {
--- a/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
@@ -87,6 +87,25 @@
             }
         }
 
+        describe("a last record whose length reached the disk before its end") {
+            it("is cut off wherever its data ends") {
+                val folder = folder()
+                stored(folder)
+                val whole = log(folder).fileSize()
+                stored(folder.resolve("shorter"), count = 2)
+                val before = log(folder.resolve("shorter")).fileSize()
+                for (written in before until whole) {
+                    val torn = folder()
+                    stored(torn)
+                    RandomAccessFile(log(torn).toFile(), "rw").use {
+                        it.setLength(written)
+                        it.setLength(whole)
+                    }
+                    FileStorage(torn).recover().entries.map { it.index } shouldBe listOf(1L, 2L)
+                }
+            }
+        }
+
         describe("a flipped bit anywhere") {
             it("is noticed, never read as something else") {
                 val pristine = folder()
