--- /dev/null
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -0,0 +1,206 @@
+package anvilslip.policy
+
+import anvilslip.state.AdapterName
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DispatcherSpec :
+    DescribeSpec({
+        val engine =
+            EngineProfile(
+                slots = 64,
+                kvCapacity = 100_000,
+                models = listOf(ModelProfile("m", 100.0, 1.seconds, 1.0)),
+                weightsMb = 200.0,
+                adapterSlots = 2,
+                loadsPerSecond = 2.0,
+            )
+        val configuration =
+            ServingConfiguration(
+                version = 1,
+                services = mapOf("llm" to BackendService("llm", 100, engine), "app" to BackendService("app", 100)),
+                workspaces = listOf(ServingWorkspace("w", listOf("k"), ratePerSecond = 1000.0, burst = 1000.0)),
+            )
+
+        fun server(
+            id: String,
+            adapters: Map<String, Long> = emptyMap(),
+            phase: ServerPhase = ServerPhase.READY,
+        ) = ServerReport(id, "llm", "$id:80", "z1", phase, 1, 1, 64, listOf(HeldModel("m", adapters)))
+
+        fun plain(id: String) = ServerReport(id, "app", "$id:80", "z1", ServerPhase.READY, 1, 1, 2)
+
+        fun dispatcher(
+            vararg servers: ServerReport,
+            inherits: Boolean = false,
+        ) = Dispatcher(DispatchOptions(), Duration.ZERO, inherits).apply {
+            configure(configuration, emptyMap(), Duration.ZERO)
+            fleet(servers.toList())
+            for (server in unsurveyed(Duration.ZERO)) surveyed(server.id, ServerSurvey(0, server.models.orEmpty()), Duration.ZERO)
+        }
+
+        var number = 0L
+
+        fun demand(
+            adapter: String? = null,
+            service: String = "llm",
+            tokens: Int = 1900,
+            charge: Long = 0,
+            exclude: Set<String> = emptySet(),
+        ) = ServeDemand(
+            entry = "e",
+            number = ++number,
+            service = service,
+            workspace = "w",
+            charge = charge,
+            zone = "z1",
+            targetMillis = 1000,
+            leftMillis = 5000,
+            model = if (service == "llm") "m" else null,
+            adapter = adapter,
+            promptTokens = if (service == "llm") tokens else 0,
+            exclude = exclude,
+        )
+
+        fun Dispatcher.decide(
+            demand: ServeDemand,
+            now: Duration = Duration.ZERO,
+        ): ServeDecision = admit(demand, now).shouldBeInstanceOf<Admission.Decided>().decision
+
+        fun Dispatcher.load(
+            adapter: String,
+            now: Duration = Duration.ZERO,
+        ): LoadOrder {
+            val order = admit(demand(adapter), now).shouldBeInstanceOf<Admission.Load>().order
+            val steps = checkNotNull(stepsOf(order))
+            steps.evict?.let { evicted(order, it, steps.ordersTaken + 1) }
+            loadStarted(order, steps.ordersTaken + if (steps.evict == null) 1 else 2, now)
+            return order
+        }
+
+        describe("requests without an adapter") {
+            it("go where the fewest prompt tokens wait to be read") {
+                val dispatcher = dispatcher(server("a"), server("b"))
+                val sent = (1..4).map { (dispatcher.decide(demand()) as ServeDecision.Send).server }
+                sent.groupingBy { it }.eachCount() shouldBe mapOf("a" to 2, "b" to 2)
+            }
+
+            it("are refused at once, with when to come back, when no answer can begin in time") {
+                val dispatcher = dispatcher(server("a"))
+                val decisions = (1..20).map { dispatcher.decide(demand()) }
+                val refused = decisions.filterIsInstance<ServeDecision.Refuse>()
+                refused.first().reason shouldBe ServeRefusal.BUSY
+                (refused.first().retryMillis > 0) shouldBe true
+                decisions.takeWhile { it is ServeDecision.Send }.size shouldBe 6
+            }
+
+            it("are sent again once prompts have been read") {
+                val dispatcher = dispatcher(server("a"))
+                val first = demand()
+                dispatcher.decide(first)
+                repeat(20) { dispatcher.decide(demand()) }
+                dispatcher.progress("e", listOf(ServeEvent(first.number, ServeStep.ANSWERING)), 100.milliseconds)
+                dispatcher.decide(demand(), 100.milliseconds).shouldBeInstanceOf<ServeDecision.Send>()
+            }
+
+            it("never go to a server that is draining, gone or excluded") {
+                val dispatcher = dispatcher(server("a", phase = ServerPhase.DRAINING), server("b"), server("c"))
+                dispatcher.decide(demand(exclude = setOf("b"))) shouldBe ServeDecision.Send("c", "c:80")
+                dispatcher.fleet(listOf(server("a", phase = ServerPhase.DRAINING)))
+                dispatcher.decide(demand()).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.NO_SERVER
+            }
+        }
+
+        describe("an adapter that no server holds") {
+            it("is loaded once, and those who ask meanwhile wait for the same load") {
+                val dispatcher = dispatcher(server("a"))
+                val order = dispatcher.admit(demand("x"), Duration.ZERO).shouldBeInstanceOf<Admission.Load>().order
+                dispatcher.admit(demand("x"), Duration.ZERO) shouldBe Admission.AwaitOrder("a", "x")
+                dispatcher.loadStarted(order, 1, Duration.ZERO)
+                dispatcher.decide(demand("x")).shouldBeInstanceOf<ServeDecision.Send>().holdMillis shouldBe 270
+            }
+
+            it("takes the place of the one unused for longest") {
+                val dispatcher = dispatcher(server("a"))
+                dispatcher.load("x", Duration.ZERO)
+                dispatcher.load("y", 1.seconds)
+                dispatcher.load("z", 5.seconds).evict shouldBe "x"
+            }
+
+            it("never takes the place of one in use") {
+                val dispatcher = dispatcher(server("a"))
+                dispatcher.load("x")
+                dispatcher.load("y")
+                dispatcher.decide(demand("x"), 1.seconds)
+                dispatcher.decide(demand("y"), 1.seconds)
+                dispatcher.decide(demand("z"), 2.seconds).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.LOADING
+            }
+
+            it("is not loaded beyond the places of the server, whatever a survey brings to light") {
+                val dispatcher = dispatcher(server("a"))
+                val order = dispatcher.admit(demand("x"), Duration.ZERO).shouldBeInstanceOf<Admission.Load>().order
+                dispatcher.surveyed("a", ServerSurvey(7, listOf(HeldModel("m", mapOf("p" to 1, "q" to 1)))), Duration.ZERO)
+                dispatcher.stepsOf(order) shouldBe null
+            }
+
+            it("is ordered by a new leader only after the orders of the one before must have ended") {
+                val dispatcher = dispatcher(server("a"), inherits = true)
+                dispatcher.decide(demand("x"), 1.seconds).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.LOADING
+                dispatcher.unsurveyed(2.seconds) shouldBe emptyList()
+                dispatcher.unsurveyed(3.seconds).map { it.id } shouldContainExactly listOf("a")
+            }
+
+            it("is asked of a server again after an order failed, once its state is known") {
+                val dispatcher = dispatcher(server("a"))
+                val order = dispatcher.admit(demand("x"), Duration.ZERO).shouldBeInstanceOf<Admission.Load>().order
+                dispatcher.loadFailed(order, Duration.ZERO)
+                dispatcher.decide(demand("x")).shouldBeInstanceOf<ServeDecision.Refuse>()
+                dispatcher.unsurveyed(1.seconds).map { it.id } shouldContainExactly listOf("a")
+            }
+        }
+
+        describe("a version that was named") {
+            it("is loaded in the place of the old one, and requests say which they need") {
+                val dispatcher = dispatcher(server("a", mapOf("x" to 1)))
+                dispatcher.configure(configuration, mapOf(AdapterName("m", "x") to 2L), Duration.ZERO)
+                val order = dispatcher.load("x", 1.seconds)
+                order.version shouldBe 2
+                order.evict shouldBe null
+                dispatcher.decide(demand("x"), 2.seconds).shouldBeInstanceOf<ServeDecision.Send>().version shouldBe 2
+            }
+        }
+
+        describe("the limit of a workspace") {
+            it("holds requests back for a while and refuses those that would wait for longer") {
+                val dispatcher = dispatcher(plain("p"))
+                dispatcher.decide(demand(service = "app", charge = 1000)).shouldBeInstanceOf<ServeDecision.Send>().holdMillis shouldBe 0
+                dispatcher.decide(demand(service = "app", charge = 400)).shouldBeInstanceOf<ServeDecision.Send>().holdMillis shouldBe 400
+                val refusal = dispatcher.decide(demand(service = "app", charge = 200)).shouldBeInstanceOf<ServeDecision.Refuse>()
+                refusal.reason shouldBe ServeRefusal.OVER_LIMIT
+            }
+
+            it("is given back for a request that did not run") {
+                val dispatcher = dispatcher(plain("p"))
+                val first = demand(service = "app", charge = 1000)
+                dispatcher.decide(first)
+                dispatcher.progress("e", listOf(ServeEvent(first.number, ServeStep.NOT_RUN)), Duration.ZERO)
+                dispatcher.decide(demand(service = "app", charge = 1000)).shouldBeInstanceOf<ServeDecision.Send>().holdMillis shouldBe 0
+            }
+        }
+
+        describe("a request whose end is never told") {
+            it("is forgotten after its deadline") {
+                val dispatcher = dispatcher(server("a"))
+                dispatcher.decide(demand())
+                dispatcher.expire(5.seconds)
+                dispatcher.running shouldBe 1
+                dispatcher.expire(7.seconds)
+                dispatcher.running shouldBe 0
+            }
+        }
+    })
--- /dev/null
+++ b/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
@@ -0,0 +1,92 @@
+package anvilslip.policy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+class FleetTableSpec :
+    DescribeSpec({
+        fun report(
+            id: String = "s1",
+            sequence: Long = 1,
+            born: Long = 1,
+            phase: ServerPhase = ServerPhase.READY,
+            address: String = "10.0.0.1:80",
+        ) = ServerReport(id, "service", address, "z", phase, born, sequence)
+
+        fun FleetTable.hear(report: ServerReport) = take(report, direct = true, now = Duration.ZERO)
+
+        fun FleetTable.ids() = alive(Duration.ZERO, 5.seconds).map { it.id }
+
+        describe("a report") {
+            it("changes the table when the server is new, and refreshes it when it says the same again") {
+                val table = FleetTable()
+                table.hear(report(sequence = 1)) shouldBe FleetTable.Change.CHANGED
+                table.hear(report(sequence = 2)) shouldBe FleetTable.Change.REFRESHED
+            }
+
+            it("is dropped when it comes late") {
+                val table = FleetTable()
+                table.hear(report(sequence = 5, phase = ServerPhase.DRAINING))
+                table.hear(report(sequence = 4)) shouldBe FleetTable.Change.NONE
+                table["s1"]?.phase shouldBe ServerPhase.DRAINING
+            }
+
+            it("cannot make a draining server ready again") {
+                val table = FleetTable()
+                table.hear(report(sequence = 5, phase = ServerPhase.DRAINING))
+                table.hear(report(sequence = 6)) shouldBe FleetTable.Change.NONE
+            }
+
+            it("counts anew when the server has started again under its ID") {
+                val table = FleetTable()
+                table.hear(report(sequence = 50, phase = ServerPhase.DRAINING))
+                table.hear(report(sequence = 1, born = 2)) shouldBe FleetTable.Change.CHANGED
+                table["s1"]?.phase shouldBe ServerPhase.READY
+            }
+        }
+
+        describe("an address that is used again") {
+            it("belongs to the server that started last") {
+                val table = FleetTable()
+                table.hear(report(id = "old", born = 1))
+                table.hear(report(id = "new", born = 2))
+                table.ids() shouldBe listOf("new")
+            }
+
+            it("is not taken back by a late report of the server before") {
+                val table = FleetTable()
+                table.hear(report(id = "new", born = 2))
+                table.hear(report(id = "old", born = 1, sequence = 9)) shouldBe FleetTable.Change.NONE
+                table.ids() shouldBe listOf("new")
+            }
+        }
+
+        describe("a server that has signed off") {
+            it("is not brought back by a late report") {
+                val table = FleetTable()
+                table.hear(report(sequence = 5))
+                table.signOff("s1", bornMillis = 9, now = Duration.ZERO) shouldBe FleetTable.Change.CHANGED
+                table.hear(report(sequence = 6)) shouldBe FleetTable.Change.NONE
+                table.ids() shouldBe emptyList()
+            }
+
+            it("is not brought back by a late report when it was not known before") {
+                val table = FleetTable()
+                table.signOff("s1", bornMillis = 9, now = Duration.ZERO)
+                table.hear(report(sequence = 6, born = 8)) shouldBe FleetTable.Change.NONE
+            }
+        }
+
+        describe("the changes since a revision") {
+            it("leave out what came by way of others when they are asked for what was heard directly") {
+                val table = FleetTable()
+                table.take(report(id = "far", address = "10.0.0.2:80"), direct = false, now = Duration.ZERO)
+                table.hear(report(id = "near"))
+                table.changesSince(0, directOnly = true).map { it.id } shouldBe listOf("near")
+                table.changesSince(0, directOnly = false).map { it.id } shouldBe listOf("far", "near")
+                table.changesSince(table.revision, directOnly = false) shouldBe emptyList()
+            }
+        }
+    })
--- /dev/null
+++ b/policy/src/test/kotlin/anvilslip/policy/WorkspaceBucketSpec.kt
@@ -0,0 +1,49 @@
+package anvilslip.policy
+
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class WorkspaceBucketSpec :
+    DescribeSpec({
+        describe("a bucket of a workspace") {
+            it("lets a burst pass and holds back what goes beyond it until the tokens have flowed in") {
+                val bucket = WorkspaceBucket(rate = 100.0, burst = 100.0, level = 100.0, now = Duration.ZERO)
+                bucket.wait(100.0, Duration.ZERO) shouldBe Duration.ZERO
+                bucket.spend(100.0, Duration.ZERO)
+                bucket.wait(50.0, Duration.ZERO) shouldBe 500.milliseconds
+                bucket.spend(50.0, Duration.ZERO)
+                bucket.wait(50.0, Duration.ZERO) shouldBe 1.seconds
+            }
+
+            it("lets a request larger than the burst pass once it is full") {
+                val bucket = WorkspaceBucket(rate = 100.0, burst = 100.0, level = 100.0, now = Duration.ZERO)
+                bucket.wait(250.0, Duration.ZERO) shouldBe Duration.ZERO
+                bucket.spend(250.0, Duration.ZERO)
+                bucket.wait(1.0, Duration.ZERO) shouldBe 1510.milliseconds
+            }
+
+            it("keeps what runs in any window within rate and burst, at eight times the rate") {
+                val random = Random(7)
+                val bucket = WorkspaceBucket(rate = 1000.0, burst = 1000.0, level = 1000.0, now = Duration.ZERO)
+                val runs = ArrayList<Pair<Duration, Double>>()
+                var now = Duration.ZERO
+                while (now < 30.seconds) {
+                    now += random.nextInt(1, 50).milliseconds
+                    val tokens = random.nextInt(50, 400).toDouble()
+                    val wait = bucket.wait(tokens, now)
+                    if (wait > 500.milliseconds) continue
+                    bucket.spend(tokens, now)
+                    runs += now + wait to tokens
+                }
+                for ((start, _) in runs) {
+                    val spent = runs.filter { it.first >= start && it.first < start + 8.seconds }.sumOf { it.second }
+                    spent shouldBeLessThanOrEqual 1000.0 * 8 + 1000.0 + 400.0
+                }
+            }
+        }
+    })
--- a/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
@@ -51,7 +51,7 @@
         val header = ByteArray(CHECKED_HEADER_BYTES).also { bytes.get(start, it) }
         val length = bytes.getInt(start)
         val headerHolds = checksum(header) == bytes.getInt(start + CHECKED_HEADER_BYTES) && length in 0..MAX_RECORD_BYTES
-        if (!headerHolds) return if (isZero(bytes)) Decoded.Torn else Decoded.Damaged
+        if (!headerHolds) return if (isZero(bytes, start + HEADER_BYTES)) Decoded.Torn else Decoded.Damaged
         if (bytes.remaining() - HEADER_BYTES < length) return Decoded.Torn
         val body = ByteArray(length).also { bytes.get(start + HEADER_BYTES, it) }
         if (checksum(body) != bytes.getInt(start + Int.SIZE_BYTES)) return if (isTornLast(bytes, body)) Decoded.Torn else Decoded.Damaged
@@ -80,7 +80,11 @@
         body: ByteArray,
     ): Boolean = bytes.remaining() == HEADER_BYTES + body.size && body.lastOrNull() == 0.toByte()
 
-    private fun isZero(bytes: ByteBuffer): Boolean = (bytes.position() until bytes.limit()).all { bytes.get(it) == 0.toByte() }
+    /** True when nothing but zeros follows: the header was being written when the power went. */
+    private fun isZero(
+        bytes: ByteBuffer,
+        from: Int,
+    ): Boolean = (from until bytes.limit()).all { bytes.get(it) == 0.toByte() }
 
     private fun checksum(body: ByteArray): Int = CRC32C().apply { update(body) }.value.toInt()
 }
