--- a/gateway/src/main/kotlin/anvilslip/gateway/Admitter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Admitter.kt
@@ -61,8 +61,8 @@
     }
 
     private companion object {
-        /** A load takes two orders of a few ms each; a leader that takes longer is cut off or frozen. */
-        val ANSWER_TIMEOUT = 400.milliseconds
+        /** A request waits up to 300 ms at the leader; one that takes longer is cut off or frozen. */
+        val ANSWER_TIMEOUT = 450.milliseconds
         val AVOIDANCE = 300.milliseconds
         const val ROUNDS = 2
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -100,7 +100,10 @@
             val admitted = admitter.admit(demand(exchange, number))
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
-            if (decision is ServeDecision.Refuse) return refused(exchange, decision)
+            if (decision is ServeDecision.Refuse) {
+                if (mayWait(exchange, decision, admitted.term)) continue
+                return refused(exchange, decision)
+            }
             decision as ServeDecision.Send
             exchange.isCharged = true
             exchange.lastServer = decision.server
@@ -117,6 +120,22 @@
         }
     }
 
+    /** Waits a little while there is no leader, since one is elected within about a second. */
+    private suspend fun mayWait(
+        exchange: Exchange,
+        refusal: ServeDecision.Refuse,
+        term: Long?,
+    ): Boolean {
+        val waited = clock.elapsed() - exchange.startedAt
+        if (term != null || refusal.reason == ServeRefusal.OVER_LIMIT ||
+            waited > exchange.route.target * LEADERLESS_WAIT_SHARE
+        ) {
+            return false
+        }
+        delay(LEADERLESS_POLL)
+        return true
+    }
+
     /** What became of the request, or null when it is to be sent again. */
     private suspend fun conclude(
         exchange: Exchange,
@@ -300,6 +319,10 @@
         const val MAX_SENDINGS = 3
         const val NO_ROUTE = "none"
         const val MILLIS_PER_SECOND = 1000.0
+
+        /** Share of a request's target that it may wait for a leader. */
+        const val LEADERLESS_WAIT_SHARE = 0.5
+        val LEADERLESS_POLL = 100.milliseconds
         val BUSY_RETRY = 100.milliseconds
         val STARTING_RETRY = 500.milliseconds
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs a [Dispatcher] while this instance leads, and carries out the orders it asks for. */
@@ -34,12 +35,16 @@
     private val watchers: WatchResponder,
     private val orders: EngineOrders,
     private val options: DispatchOptions,
+    private val handover: OrderHandover,
     private val clock: Clock,
 ) : Service {
     private class Tenure(
         val term: Long,
         val dispatcher: Dispatcher,
+        val previous: String?,
+        val since: Duration,
     ) {
+        var mayOrder = false
         val ordering = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
         var fleetRevision = -1L
@@ -53,6 +58,9 @@
     @Volatile
     private var tenure: Tenure? = null
 
+    @Volatile
+    private var lastLeader: String? = null
+
     override suspend fun start() {
         scope.launch {
             while (true) {
@@ -68,16 +76,41 @@
 
     /** Decides on [demand], having an adapter loaded if need be. */
     public suspend fun admit(demand: ServeDemand): PeerMessage {
-        for (round in 1..MAX_ROUNDS) {
+        val askedAt = clock.elapsed()
+        var rounds = 0
+        while (true) {
             val current = current() ?: return notLeader()
-            when (val admission = decide(current, demand)) {
-                is Admission.Decided -> return PeerMessage.AdmitReply(current.term, admission.decision)
-                is Admission.Load -> load(current, admission.order)
-                is Admission.AwaitOrder -> current.ordering[admission.server to admission.adapter]?.await() ?: delay(ORDER_POLL)
+            val waited = clock.elapsed() - askedAt
+            when (val admission = decide(current, demand.after(waited))) {
+                is Admission.Decided -> {
+                    val mayWait = waited < PLACE_WAIT && admission.decision.isLoading()
+                    if (!mayWait) return PeerMessage.AdmitReply(current.term, admission.decision)
+                    delay(PLACE_POLL)
+                }
+
+                is Admission.Load -> {
+                    if (++rounds > MAX_LOADS) return refuseLoading(current)
+                    load(current, admission.order)
+                }
+
+                is Admission.AwaitOrder -> {
+                    current.ordering[admission.server to admission.adapter]?.await() ?: delay(ORDER_POLL)
+                }
             }
         }
+    }
+
+    private fun ServeDemand.after(waited: Duration): ServeDemand {
+        val millis = waited.inWholeMilliseconds
+        return copy(targetMillis = targetMillis - millis, leftMillis = leftMillis - millis)
+    }
+
+    /** True when all places are in use, which may change within moments. */
+    private fun ServeDecision.isLoading(): Boolean = this is ServeDecision.Refuse && reason == ServeRefusal.LOADING
+
+    private fun refuseLoading(current: Tenure): PeerMessage {
         val refusal = ServeDecision.Refuse(ServeRefusal.LOADING, options.adapterLoad.inWholeMilliseconds)
-        return PeerMessage.AdmitReply(replica.view.term, refusal)
+        return PeerMessage.AdmitReply(current.term, refusal)
     }
 
     /** Takes in what became of requests. */
@@ -121,7 +154,8 @@
         inherits: Boolean,
     ): Tenure {
         log.info("leading_began", "term" to term, "inherits" to inherits)
-        return Tenure(term, Dispatcher(options, clock.elapsed(), inherits)).also(::refresh)
+        val now = clock.elapsed()
+        return Tenure(term, Dispatcher(options, now, inherits), lastLeader, now).also(::refresh)
     }
 
     private fun refresh(current: Tenure) {
@@ -130,12 +164,18 @@
         val revision = knowledge.changeCount
         if (revision == current.fleetRevision) return
         current.fleetRevision = revision
-        current.dispatcher.fleet(knowledge.servers())
+        current.dispatcher.fleet(knowledge.servers(), clock.elapsed())
     }
 
     private fun tick() {
-        val current = current() ?: return
+        val current = current()
+        if (current == null) {
+            replica.view.leader?.let { lastLeader = it.instance }
+            return
+        }
+        lastLeader = replica.view.id.instance
         val now = clock.elapsed()
+        takeOverOrders(current, now)
         val due =
             synchronized(lock) {
                 current.fleetRevision = -1
@@ -151,6 +191,16 @@
         }
     }
 
+    private fun takeOverOrders(
+        current: Tenure,
+        now: Duration,
+    ) {
+        if (current.mayOrder || !handover.isOver(replica.view, current.previous, now - current.since)) return
+        current.mayOrder = true
+        log.info("orders_taken_over", "term" to current.term, "previous" to current.previous, "after" to (now - current.since))
+        synchronized(lock) { current.dispatcher.allowOrders() }
+    }
+
     private suspend fun survey(
         current: Tenure,
         server: ServerReport,
@@ -240,8 +290,12 @@
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "dispatch"
-        private val TICK = 200.milliseconds
+        private val TICK = 100.milliseconds
         private val ORDER_POLL = 5.milliseconds
-        private const val MAX_ROUNDS = 6
+        private const val MAX_LOADS = 3
+
+        /** How long a request waits here for a place to become free; the entry instance waits somewhat longer for the answer. */
+        private val PLACE_WAIT = 300.milliseconds
+        private val PLACE_POLL = 25.milliseconds
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -35,8 +35,6 @@
     val limitWaitShare: Double = 0.5,
     /** How long a server that could not be reached is passed over. */
     val unreachablePause: Duration = 1000.milliseconds,
-    /** How long a new leader gives no orders, so that those of the one before have ended. */
-    val orderPause: Duration = 3000.milliseconds,
     /** How long a server that did not answer an order is passed over for loads. */
     val failedOrderPause: Duration = 500.milliseconds,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -66,6 +66,14 @@
         report = report.copy(models = survey.models)
     }
 
+    /** Takes what [said] lists as held, until the server is asked. */
+    fun assume(
+        said: ServerReport,
+        now: Duration,
+    ) {
+        for (model in said.models.orEmpty()) for ((adapter, version) in model.adapters) keep(adapter, version, now, now)
+    }
+
     private fun keep(
         adapter: String,
         version: Long?,
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -37,7 +37,7 @@
     private val tickets = HashMap<Pair<String, Long>, Ticket>()
     private val buckets = HashMap<String, WorkspaceBucket>()
     private val speeds = HashMap<String, PrefillSpeed>()
-    private val ordersFrom = if (inherits) now + options.orderPause else now
+    private var mayOrder = !inherits
     private var modelLoads = 1.0
     private var modelLoadsAt = now
     private var configuration = ServingConfiguration(-1)
@@ -76,13 +76,21 @@
         buckets.keys.retainAll(limited.toSet())
     }
 
+    /** Orders of the leader before can no longer be under way, so this one may give its own. */
+    public fun allowOrders() {
+        mayOrder = true
+    }
+
     /** Takes over the servers that are alive. */
-    public fun fleet(reports: List<ServerReport>) {
+    public fun fleet(
+        reports: List<ServerReport>,
+        now: Duration,
+    ) {
         servers.keys.retainAll(reports.map { it.id }.toSet())
         for (report in reports) {
             val server = servers[report.id]
             when {
-                server == null -> servers[report.id] = DispatchServer(report, options)
+                server == null -> servers[report.id] = DispatchServer(report, options).also { it.assume(report, now) }
                 server.report.bornMillis != report.bornMillis -> server.restart(report)
                 else -> server.report = report
             }
@@ -91,7 +99,7 @@
 
     /** Engines that must be asked for their state before orders can be given to them. */
     public fun unsurveyed(now: Duration): List<ServerReport> =
-        if (now < ordersFrom) {
+        if (!mayOrder) {
             emptyList()
         } else {
             servers.values
@@ -191,7 +199,7 @@
         up: List<DispatchServer>,
         now: Duration,
     ): DispatchServer? {
-        if (now < ordersFrom) return null
+        if (!mayOrder) return null
         val slots = configuration.services[demand.service]?.engine?.adapterSlots ?: return null
         val able =
             up.filter {
@@ -301,7 +309,7 @@
 
     /** A base model to load on an engine that holds none, if one is due. */
     public fun modelOrder(now: Duration): ModelOrder? {
-        if (now < ordersFrom) return null
+        if (!mayOrder) return null
         val server =
             servers.values.firstOrNull {
                 isEngine(it) && it.isReady && it.orders != null && !it.isLoadingModel && now >= it.ordersPausedUntil &&
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -40,7 +40,7 @@
             inherits: Boolean = false,
         ) = Dispatcher(DispatchOptions(), Duration.ZERO, inherits).apply {
             configure(configuration, emptyMap(), Duration.ZERO)
-            fleet(servers.toList())
+            fleet(servers.toList(), Duration.ZERO)
             for (server in unsurveyed(Duration.ZERO)) surveyed(server.id, ServerSurvey(0, server.models.orEmpty()), Duration.ZERO)
         }
 
@@ -111,7 +111,7 @@
             it("never go to a server that is draining, gone or excluded") {
                 val dispatcher = dispatcher(server("a", phase = ServerPhase.DRAINING), server("b"), server("c"))
                 dispatcher.decide(demand(exclude = setOf("b"))) shouldBe ServeDecision.Send("c", "c:80")
-                dispatcher.fleet(listOf(server("a", phase = ServerPhase.DRAINING)))
+                dispatcher.fleet(listOf(server("a", phase = ServerPhase.DRAINING)), Duration.ZERO)
                 dispatcher.decide(demand()).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.NO_SERVER
             }
         }
@@ -152,9 +152,15 @@
                 val dispatcher = dispatcher(server("a"), inherits = true)
                 dispatcher.decide(demand("x"), 1.seconds).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.LOADING
                 dispatcher.unsurveyed(2.seconds) shouldBe emptyList()
+                dispatcher.allowOrders()
                 dispatcher.unsurveyed(3.seconds).map { it.id } shouldContainExactly listOf("a")
             }
 
+            it("is used by a new leader at once where its server says that it holds it") {
+                val dispatcher = dispatcher(server("a", mapOf("x" to 1)), inherits = true)
+                dispatcher.decide(demand("x")) shouldBe ServeDecision.Send("a", "a:80")
+            }
+
             it("is asked of a server again after an order failed, once its state is known") {
                 val dispatcher = dispatcher(server("a"))
                 val order = dispatcher.admit(demand("x"), Duration.ZERO).shouldBeInstanceOf<Admission.Load>().order
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -47,6 +47,8 @@
     val retryReserve: Double = 50.0,
     /** How long orders of two leaders must lie apart. */
     val orderPause: Duration = 3000.milliseconds,
+    /** True when backend servers refuse orders with an old fencing number. */
+    val fencingChecked: Boolean = false,
 ) {
     /** True on an instance that holds a replica and directs the others. */
     public val isControl: Boolean get() = control != null
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -70,6 +70,7 @@
                 retryShare = root.double("retryShare", 0.0..1.0, defaults.retryShare),
                 retryReserve = root.double("retryReserve", 0.0..MAX_RESERVE, defaults.retryReserve),
                 orderPause = duration(root, "orderPause", defaults.orderPause),
+                fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
             )
         root.finish()
         findings.check(read.seeds.isNotEmpty(), root.placeOf("seeds")) { "name at least one control instance" }
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -182,6 +182,7 @@
                 core.currentVoters,
                 core.state,
                 core.leaseUntil,
+                core.followers,
             )
         if (core.state !== before) onState(core.state)
     }
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -83,6 +83,10 @@
             return confirmedAt?.takeIf { role == ReplicaRole.LEADER && committedOwnTerm }?.plus(options.leaderLease)
         }
 
+    /** Replicas that have acknowledged this leader in its term; empty when it does not lead. */
+    public val followers: Set<ReplicaId>
+        get() = if (role == ReplicaRole.LEADER) progress.filterValues { it.match > 0 }.keys.toSet() else emptySet()
+
     /** True while [leaseUntil] lies ahead. */
     public fun holdsLease(now: Duration): Boolean = leaseUntil?.let { now < it } ?: false
 
--- a/state/src/main/kotlin/anvilslip/state/ReplicaView.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaView.kt
@@ -14,4 +14,6 @@
     val state: ReplicatedState = ReplicatedState(),
     /** Monotonic time until which this replica leads and no other can be elected; null when it does not lead. */
     val leaseUntil: Duration? = null,
+    /** Replicas that have acknowledged this leader in its term; empty when it does not lead. */
+    val followers: Set<ReplicaId> = emptySet(),
 )
