--- a/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
@@ -1,5 +1,6 @@
 package anvilslip.daemon
 
+import anvilslip.kernel.Logs
 import anvilslip.settings.Settings
 import anvilslip.settings.SettingsReader
 import kotlinx.cli.ArgParser
@@ -38,6 +39,7 @@
         runBlocking { instance.start() }
     } catch (e: Exception) {
         System.err.println("anvilslipd cannot start: ${e.message}")
+        Logs.close()
         exitProcess(EXIT_START)
     }
     Runtime.getRuntime().addShutdownHook(
@@ -46,6 +48,7 @@
                 instance.drain()
                 instance.stop()
             }
+            Logs.close()
         },
     )
     Thread.currentThread().join()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -230,6 +230,17 @@
         exchange: Exchange,
         refusal: ServeDecision.Refuse,
     ): String {
+        log.info(
+            "refused",
+            "request_id" to exchange.request.attempt,
+            "reason" to refusal.reason.name.lowercase(),
+            "term" to (exchange.lastTerm ?: "none"),
+            "servers" to refusal.servers,
+            "wait_ms" to refusal.waitMillis,
+            "target_ms" to exchange.route.target.inWholeMilliseconds,
+            "retry_ms" to refusal.retryMillis,
+            "configuration" to exchange.configurationVersion,
+        )
         val status = if (refusal.reason == ServeRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
         return fail(exchange, if (exchange.runs == 0) status else BAD_GATEWAY, reason, refusal.retryMillis.milliseconds)
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -27,7 +27,6 @@
 import java.nio.file.Path
 import java.util.UUID
 import kotlin.io.path.readBytes
-import kotlin.system.exitProcess
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -146,7 +145,6 @@
                 clock = clock,
                 options = ReplicaOptions(voterTarget = voters, snapshotEvery = SNAPSHOT_EVERY, keptEntries = KEPT_ENTRIES),
                 mayFound = settings.mayFound,
-                onStorageFailure = { exitProcess(EXIT_STORAGE) },
                 onState = { state ->
                     state.document?.let(knowledge::take)
                     knowledge.take(state.namedVersions, state.namedRevision)
@@ -200,7 +198,6 @@
     private companion object {
         const val INCARNATION_CHARACTERS = 8
         const val MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
-        const val EXIT_STORAGE = 4
 
         /** Used where no secret is set, so that all instances use the same. */
         val OPEN_SECRET = "anvilslip".toByteArray()
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -126,7 +126,7 @@
         val charge = demand.charge.toDouble()
         val wait = bucket?.wait(charge, now) ?: Duration.ZERO
         val patience = demand.targetMillis.milliseconds * options.limitWaitShare
-        if (wait > patience) return refuse(ServeRefusal.OVER_LIMIT, wait - patience / 2)
+        if (wait > patience) return refuse(ServeRefusal.OVER_LIMIT, wait - patience / 2, wait = wait)
         val admission = place(demand, now, wait)
         val sent = (admission as? Admission.Decided)?.decision is ServeDecision.Send
         if (sent) bucket?.spend(charge, now)
@@ -143,9 +143,9 @@
         if (up.isEmpty()) return refuse(ServeRefusal.NO_SERVER, NO_SERVER_RETRY)
         val model = demand.model ?: return placePlain(demand, up, limitWait, now)
         val holders = up.filter { it.holds(model) }
-        if (holders.isEmpty()) return refuse(ServeRefusal.LOADING, MODEL_RETRY)
+        if (holders.isEmpty()) return refuse(ServeRefusal.LOADING, MODEL_RETRY, up.size)
         val roomy = holders.filter { hasMemory(it, demand) }
-        if (roomy.isEmpty()) return refuse(ServeRefusal.BUSY, BUSY_RETRY)
+        if (roomy.isEmpty()) return refuse(ServeRefusal.BUSY, BUSY_RETRY, holders.size)
         val adapter = demand.adapter ?: return send(demand, fastest(roomy, demand), limitWait, null, now)
         return placeAdapter(demand, model, adapter, roomy, limitWait, now)
     }
@@ -159,7 +159,7 @@
         val best = up.minBy { cost(it, demand) }
         val queued = best.running - best.report.slots + 1
         val wait = if (queued <= 0) Duration.ZERO else options.serviceTime * queued / best.report.slots
-        if (wait > demand.targetMillis.milliseconds * options.waitShare) return refuse(ServeRefusal.BUSY, wait / 2)
+        if (wait > demand.targetMillis.milliseconds * options.waitShare) return refuse(ServeRefusal.BUSY, wait / 2, up.size, wait)
         return send(demand, best, limitWait, null, now)
     }
 
@@ -181,8 +181,8 @@
             if (place.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
             return send(demand, holder, maxOf(place.readyAt - now, limitWait), version, now)
         }
-        if (loader == null) return refuse(ServeRefusal.LOADING, options.adapterLoad)
-        if (isTooLate(loadCost, demand)) return refuse(ServeRefusal.BUSY, retryAfter(loadCost, demand))
+        if (loader == null) return refuse(ServeRefusal.LOADING, options.adapterLoad, up.size)
+        if (isTooLate(loadCost, demand)) return refuse(ServeRefusal.BUSY, retryAfter(loadCost, demand), up.size, loadCost)
         return Admission.Load(startLoad(loader, model, adapter, version, now))
     }
 
@@ -440,7 +440,7 @@
         now: Duration,
     ): Admission {
         val wait = cost(server, demand) + hold.coerceAtLeast(Duration.ZERO)
-        if (demand.model != null && isTooLate(wait, demand)) return refuse(ServeRefusal.BUSY, retryAfter(wait, demand))
+        if (demand.model != null && isTooLate(wait, demand)) return refuse(ServeRefusal.BUSY, retryAfter(wait, demand), 1, wait)
         val expires = now + demand.leftMillis.milliseconds + TICKET_MARGIN
         val memory = demand.promptTokens
         val ticket = Ticket(server.report.id, demand.adapter, demand.workspace, demand.charge, demand.promptTokens, memory, now, expires)
@@ -528,7 +528,10 @@
     private fun refuse(
         reason: ServeRefusal,
         retry: Duration,
-    ): Admission = Admission.Decided(ServeDecision.Refuse(reason, retry.inWholeMilliseconds.coerceAtLeast(1)))
+        servers: Int = 0,
+        wait: Duration? = null,
+    ): Admission =
+        Admission.Decided(ServeDecision.Refuse(reason, retry.inWholeMilliseconds.coerceAtLeast(1), servers, wait?.inWholeMilliseconds))
 
     private companion object {
         val NO_SERVER_RETRY = 500.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/ServeDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServeDecision.kt
@@ -26,5 +26,9 @@
     public data class Refuse(
         @CborLabel(1) val reason: ServeRefusal,
         @CborLabel(2) val retryMillis: Long,
+        /** Servers that were considered. */
+        @CborLabel(3) val servers: Int = 0,
+        /** Expected wait on the best of them, or for tokens of the workspace; null when none was found. */
+        @CborLabel(4) val waitMillis: Long? = null,
     ) : ServeDecision
 }
--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -42,6 +42,8 @@
             files.dropLast(1).forEach { it.deleteIfExists() }
             generation = files.lastOrNull()?.let(::generationOf) ?: 0
             log = FileChannel.open(logPath(generation), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
+            // What a process that was killed left unsynced is acted upon from now on.
+            log?.force(true)
             syncFolder()
             vote = contents.vote
             val entries = contents.entries.filter { it.index > (snapshot?.index ?: 0) }
--- a/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
@@ -1,5 +1,6 @@
 package anvilslip.state
 
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -19,6 +20,8 @@
         try {
             storage.recover()
         } catch (e: StorageException) {
+            // A disk that fails or is full says nothing about what it holds.
+            if (e.cause is IOException) throw e
             setAside(e)
             storage = FileStorage(folder, onSync)
             storage.recover()
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -30,7 +30,6 @@
     private val options: ReplicaOptions = ReplicaOptions(),
     private val random: Random = Random.Default,
     private val mayFound: Boolean = true,
-    private val onStorageFailure: () -> Unit = {},
     /** Called on the replica's own thread with each state that is new here. */
     private val onState: (ReplicatedState) -> Unit = {},
 ) : Service {
@@ -70,10 +69,7 @@
 
     @OptIn(ExperimentalCoroutinesApi::class)
     override suspend fun start() {
-        val recovered = storage.recover()
-        core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed(), mayFound)
-        publish()
-        log.info("replica_started", "id" to core.id, "index" to core.lastIndex, "term" to core.term, "blank" to core.isBlank)
+        open()
         scope = CoroutineScope(Dispatchers.IO.limitedParallelism(1, "replica"))
         scope.launch { run() }
     }
@@ -99,20 +95,54 @@
     }
 
     private suspend fun run() {
-        try {
-            while (true) {
-                val first = withTimeoutOrNull(TICK) { inputs.receive() }
-                step(first)
+        while (true) {
+            try {
+                serve()
+            } catch (e: StorageException) {
+                stepAside(e)
+            }
+            comeBack()
+        }
+    }
+
+    private suspend fun serve(): Nothing {
+        while (true) {
+            val first = withTimeoutOrNull(TICK) { inputs.receive() }
+            step(first)
+        }
+    }
+
+    /** Neither votes nor acknowledges any more, since nothing can be stored. */
+    private fun stepAside(reason: StorageException) {
+        log.error("replica_stepped_aside", "error" to reason.message)
+        view = ReplicaView(core.id)
+        waiting.values.forEach { it.result.complete(ProposeError.Unknown.left()) }
+        waiting.clear()
+        storage.close()
+    }
+
+    /** Starts again from what is stored, once it can be read and synced. */
+    private suspend fun comeBack() {
+        while (true) {
+            val retryAt = clock.elapsed() + REOPEN_INTERVAL
+            while (clock.elapsed() < retryAt) withTimeoutOrNull(retryAt - clock.elapsed()) { refuse(inputs.receive()) }
+            try {
+                open()
+                return
+            } catch (e: StorageException) {
+                log.warn("storage_not_back", "error" to e.message)
+                storage.close()
             }
-        } catch (e: StorageException) {
-            log.error("replica_stepped_aside", "error" to e.message)
-            view = ReplicaView(core.id)
-            waiting.values.forEach { it.result.complete(ProposeError.Unknown.left()) }
-            onStorageFailure()
-            for (input in inputs) refuse(input)
         }
     }
 
+    private fun open() {
+        val recovered = storage.recover()
+        core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed(), mayFound)
+        publish()
+        log.info("replica_started", "id" to core.id, "index" to core.lastIndex, "term" to core.term, "blank" to core.isBlank)
+    }
+
     private fun refuse(input: Input) {
         if (input is Input.Proposal) input.result.complete(ProposeError.NotLeader(null).left())
     }
@@ -194,6 +224,7 @@
         public const val NAME: String = "replica"
         private const val QUEUE_LENGTH = 10_000
         private const val MAX_BATCH = 256
+        private val REOPEN_INTERVAL: Duration = 500.milliseconds
         private val TICK: Duration = 50.milliseconds
         private val PROPOSE_TIMEOUT: Duration = 3.seconds
     }
--- /dev/null
+++ b/state/src/test/kotlin/anvilslip/state/RecoveringStorageSpec.kt
@@ -0,0 +1,35 @@
+package anvilslip.state
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.shouldBe
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.io.path.createDirectories
+import kotlin.io.path.exists
+import kotlin.io.path.writeBytes
+
+class RecoveringStorageSpec :
+    DescribeSpec({
+        fun folder(): Path = Files.createTempDirectory("storage").resolve("data")
+
+        describe("a damaged folder") {
+            it("is set aside, and the replica comes back under another identity") {
+                val folder = folder()
+                val identity = FileStorage(folder).use { it.recover().identity }
+                folder.resolve("snapshot").writeBytes(ByteArray(40) { 7 })
+                var kept: Path? = null
+                RecoveringStorage(folder, { _, keptIn -> kept = keptIn }) {}.use { (it.recover().identity == identity) shouldBe false }
+                kept!!.resolve("identity").exists() shouldBe true
+            }
+        }
+
+        describe("a disk that fails") {
+            it("is not taken for a damaged folder") {
+                val folder = folder()
+                folder.resolve("identity").createDirectories()
+                shouldThrow<StorageException> { RecoveringStorage(folder, { _, _ -> error("set aside") }) {}.recover() }
+                folder.exists() shouldBe true
+            }
+        }
+    })
