Test the forwarding path over real connections

ForwarderSpec: scripted servers that refuse, break, answer for another request, add bytes behind an answer, cut streams or stay silent; a client that leaves; a route's timeout.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -29,7 +29,7 @@
     private val self: ForwarderIdentity,
     private val dialect: RequestDialect,
     private val knowledge: Knowledge,
-    private val admitter: Admitter,
+    private val admit: suspend (ServeDemand) -> Admitter.Answer,
     private val local: LocalDispatch,
     private val progress: ProgressReporter,
     private val sender: Sender,
@@ -97,7 +97,7 @@
     private suspend fun serve(exchange: Exchange): String {
         while (true) {
             val number = numbers.incrementAndGet()
-            val admitted = admitter.admit(demand(exchange, number))
+            val admitted = admit(demand(exchange, number))
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
             if (decision is ServeDecision.Refuse) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -168,7 +168,7 @@
                 self = ForwarderIdentity(settings.host, settings.zone),
                 dialect = dialects.requests,
                 knowledge = knowledge,
-                admitter = admitter,
+                admit = admitter::admit,
                 local = local,
                 progress = progress,
                 sender = sender,
--- /dev/null
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -0,0 +1,241 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpClient
+import anvilslip.entry.HttpServer
+import anvilslip.kernel.HybridClock
+import anvilslip.kernel.Metrics
+import anvilslip.kernel.SystemClock
+import anvilslip.policy.RequestKind
+import anvilslip.policy.RetryBudget
+import anvilslip.policy.ServeDecision
+import anvilslip.policy.ServeDemand
+import anvilslip.policy.ServeRefusal
+import anvilslip.policy.ServingConfiguration
+import anvilslip.policy.ServingRoute
+import anvilslip.policy.WeightedService
+import anvilslip.settings.Address
+import anvilslip.state.ConfigurationDocument
+import anvilslip.wire.PeerAddress
+import anvilslip.wire.PeerNetwork
+import arrow.core.right
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldNotContain
+import io.kotest.matchers.string.shouldStartWith
+import kotlinx.coroutines.delay
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ForwarderSpec :
+    DescribeSpec({
+        fun route(
+            name: String,
+            kind: RequestKind,
+            resumable: Boolean = false,
+            attempts: Int = 2,
+        ) = ServingRoute(name, "h", "/$name/", kind, resumable, 2.seconds, 1.seconds, 0, listOf(WeightedService("s", 1.0)), attempts, true)
+
+        val configuration =
+            ServingConfiguration(
+                version = 1,
+                routes =
+                    listOf(
+                        route("once", RequestKind.AT_MOST_ONCE, attempts = 1),
+                        route("again", RequestKind.IDEMPOTENT),
+                        route("stream", RequestKind.STREAMING),
+                        route("resume", RequestKind.STREAMING, resumable = true),
+                    ),
+            )
+
+        fun whole(
+            head: String,
+            body: String = "yes",
+            extra: String = "",
+        ): String {
+            val id = head.lineSequence().first { it.startsWith("id: ") }.trim()
+            return "HTTP/1.1 200 OK\r\n$id\r\nContent-Length: ${body.length}\r\n\r\n$body$extra"
+        }
+
+        fun events(
+            head: String,
+            text: String,
+            end: String = "0\r\n\r\n",
+        ): String {
+            val id = head.lineSequence().first { it.startsWith("id: ") }.trim()
+            val chunk = text.length.toString(16)
+            return "HTTP/1.1 200 OK\r\n$id\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n$chunk\r\n$text\r\n$end"
+        }
+
+        /** Serves one forwarder in front of [servers] in turn, and gives [action] a function that sends a request to it. */
+        suspend fun serving(
+            servers: List<ScriptedServer>,
+            action: suspend (call: (path: String) -> String, port: Int) -> Unit,
+        ) {
+            val knowledge = Knowledge({ configuration.right() }, SystemClock, setOf("127.0.0.1"), 1.seconds)
+            knowledge.take(ConfigurationDocument(1, "text"))
+            val network =
+                PeerNetwork(
+                    "e",
+                    PeerAddress("127.0.0.1", 0),
+                    emptyMap(),
+                    "0123456789abcdef".toByteArray(),
+                    SystemClock,
+                    HybridClock(SystemClock),
+                )
+            val progress = ProgressReporter("e", network, knowledge)
+            val client = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
+
+            suspend fun admit(demand: ServeDemand): Admitter.Answer {
+                val at = servers.indices.firstOrNull { "s$it" !in demand.exclude }
+                val decision = at?.let { ServeDecision.Send("s$it", servers[it].address) } ?: ServeDecision.Refuse(ServeRefusal.BUSY, 100)
+                return Admitter.Answer(decision, 1)
+            }
+            val forwarder =
+                Forwarder(
+                    self = ForwarderIdentity("e", "z"),
+                    dialect = TestDialect,
+                    knowledge = knowledge,
+                    admit = ::admit,
+                    local = LocalDispatch(knowledge, progress::runningOn),
+                    progress = progress,
+                    sender = Sender(client, TestDialect, progress, SystemClock),
+                    metrics = GatewayMetrics(Metrics()),
+                    clock = SystemClock,
+                    retryBudget = { RetryBudget(10.seconds, 0.0, 2.0) },
+                )
+            val port = ServerSocket(0).use { it.localPort }
+            val server = HttpServer("test", Address("127.0.0.1", port), forwarder, threads = 1)
+            server.start()
+            try {
+                action({ path ->
+                    Socket("127.0.0.1", port).use { socket ->
+                        socket.soTimeout = 5_000
+                        socket.getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nid: 7\r\nConnection: close\r\n\r\n".toByteArray())
+                        socket.getInputStream().readBytes().decodeToString()
+                    }
+                }, port)
+            } finally {
+                server.stop()
+                client.stop()
+                servers.forEach { it.close() }
+            }
+        }
+
+        describe("a request that may run once") {
+            it("is sent to another server after one said that it did not run it") {
+                val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
+                val free = ScriptedServer { head, _ -> whole(head) }
+                serving(listOf(full, free)) { call, _ -> call("/once/1") shouldEndWith "yes" }
+            }
+
+            it("is not sent again after its connection broke, and the answer promises nothing") {
+                val breaking =
+                    ScriptedServer { _, socket ->
+                        socket.close()
+                        null
+                    }
+                val other = ScriptedServer { head, _ -> whole(head) }
+                serving(listOf(breaking, other)) { call, _ ->
+                    call("/once/1") shouldStartWith "HTTP/1.1 502"
+                    other.requests shouldHaveSize 0
+                }
+            }
+
+            it("is answered as not run when no server can be reached") {
+                val gone = ScriptedServer { _, _ -> null }.also { it.close() }
+                serving(listOf(gone)) { call, _ -> call("/once/1") shouldStartWith "HTTP/1.1 503" }
+            }
+        }
+
+        describe("a request that may run again") {
+            it("is sent to another server after its connection broke") {
+                val breaking =
+                    ScriptedServer { _, socket ->
+                        socket.close()
+                        null
+                    }
+                val other = ScriptedServer { head, _ -> whole(head) }
+                serving(listOf(breaking, other)) { call, _ -> call("/again/1") shouldEndWith "yes" }
+            }
+
+            it("is sent to another server after an answer that belongs to another request") {
+                val wrong = ScriptedServer { head, _ -> whole(head).replace("id: 7", "id: 8") }
+                val right = ScriptedServer { head, _ -> whole(head) }
+                serving(listOf(wrong, right)) { call, _ -> call("/again/1") shouldEndWith "yes" }
+            }
+        }
+
+        describe("an answer with bytes behind its end") {
+            it("is whole, and its connection is not used again") {
+                val server = ScriptedServer { head, _ -> whole(head, extra = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno") }
+                serving(listOf(server)) { call, _ ->
+                    repeat(3) { call("/again/1") shouldEndWith "yes" }
+                    server.connections shouldHaveSize 3
+                }
+            }
+        }
+
+        describe("a stream") {
+            it("that is cut is never ended as if it were whole") {
+                val cut =
+                    ScriptedServer { head, socket ->
+                        socket.getOutputStream().write(events(head, "id: 1\ndata: a\n\nid: 2\nda", end = "").toByteArray())
+                        socket.close()
+                        null
+                    }
+                serving(listOf(cut)) { call, _ ->
+                    val answer = call("/stream/1")
+                    answer shouldContain "id: 1"
+                    answer shouldNotContain "id: 2"
+                    answer shouldNotContain "\r\n0\r\n"
+                }
+            }
+
+            it("that may be resumed goes on at another server after the last whole event") {
+                val cut =
+                    ScriptedServer { head, socket ->
+                        socket.getOutputStream().write(events(head, "id: 1\ndata: a\n\nid: 2\nda", end = "").toByteArray())
+                        socket.close()
+                        null
+                    }
+                val rest = ScriptedServer { head, _ -> events(head, "id: 2\ndata: b\n\n") }
+                serving(listOf(cut, rest)) { call, _ ->
+                    val answer = call("/resume/1")
+                    answer shouldContain "id: 1\ndata: a\n\n"
+                    answer shouldContain "id: 2\ndata: b\n\n"
+                    answer shouldEndWith "0\r\n\r\n"
+                    rest.requests.single() shouldContain "last: 1"
+                }
+            }
+        }
+
+        describe("a client that leaves") {
+            it("has its server's connection closed at once") {
+                val silent = ScriptedServer { _, _ -> null }
+                serving(listOf(silent)) { _, port ->
+                    Socket("127.0.0.1", port).use { socket ->
+                        socket.getOutputStream().write("GET /stream/1 HTTP/1.1\r\nHost: h\r\nid: 7\r\n\r\n".toByteArray())
+                        while (silent.requests.isEmpty()) delay(5)
+                    }
+                    repeat(100) { if (silent.closed.isEmpty()) delay(5) }
+                    silent.closed shouldHaveSize 1
+                }
+            }
+        }
+
+        describe("a request without a final answer at its route's timeout") {
+            it("gets one then") {
+                val silent = ScriptedServer { _, _ -> null }
+                serving(listOf(silent)) { call, _ -> call("/once/1") shouldStartWith "HTTP/1.1 504" }
+            }
+        }
+
+        describe("a path without a route") {
+            it("is not found") { serving(emptyList()) { call, _ -> call("/none/1") shouldStartWith "HTTP/1.1 404" } }
+        }
+    })
--- /dev/null
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -0,0 +1,36 @@
+package anvilslip.gateway
+
+import anvilslip.entry.HttpAnswer
+import anvilslip.entry.HttpCall
+import anvilslip.entry.HttpClientAnswer
+import kotlin.time.Duration
+
+/** Requests and answers marked with short headers. */
+internal object TestDialect : RequestDialect {
+    override fun decode(call: HttpCall) =
+        ClientRequest(call, call.header("id"), call.header("host").orEmpty().substringBefore(':'), call.header("key"), null)
+
+    override fun headers(
+        request: ClientRequest,
+        forwarding: Forwarding,
+    ): Map<String, String> = listOfNotNull("id" to request.attempt.orEmpty(), forwarding.lastEvent?.let { "last" to it }).toMap()
+
+    override fun verdict(
+        request: ClientRequest,
+        answer: HttpClientAnswer,
+    ): ServerVerdict =
+        when {
+            answer.header("not-run") != null -> ServerVerdict.NOT_RUN
+            answer.header("id") != request.attempt -> ServerVerdict.FOREIGN
+            else -> ServerVerdict.ANSWER
+        }
+
+    override fun answerHeaders(answer: HttpClientAnswer): Map<String, String> = emptyMap()
+
+    override fun ownAnswer(
+        request: ClientRequest,
+        status: Int,
+        reason: String,
+        retryAfter: Duration?,
+    ): HttpAnswer = HttpAnswer.text(status, reason)
+}
