--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -222,7 +222,7 @@
         val given = EngineOrder(order.server, order.address, true, order.model, null, null, order.expectedOrders)
         val reply = give(current, given)
         val taken = reply == OrderReply.TAKEN || reply == OrderReply.HOLDS
-        synchronized(lock) { current.dispatcher.modelOrdered(order, if (taken) order.expectedOrders + 1 else null, clock.elapsed()) }
+        synchronized(lock) { current.dispatcher.modelOrdered(order, taken, clock.elapsed()) }
     }
 
     private suspend fun load(
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -30,8 +30,13 @@
 
     val isReady: Boolean get() = report.phase == ServerPhase.READY
 
-    /** Models that the server holds; places are kept apart, since reports of them come late. */
-    fun holds(model: String): Boolean = report.models.orEmpty().any { it.name == model }
+    /** Models it held when it was asked; its reports of them come late. */
+    private var surveyedModels = emptySet<String>()
+
+    /** True when it is known to hold no model and none is on its way. */
+    val isEmpty: Boolean get() = !isLoadingModel && report.models?.isEmpty() == true && surveyedModels.isEmpty()
+
+    fun holds(model: String): Boolean = model in surveyedModels || report.models.orEmpty().any { it.name == model }
 
     fun wait(tokensPerMillisecond: Double): Duration = (unread / tokensPerMillisecond + running * BATCH_MILLIS).milliseconds
 
@@ -63,7 +68,8 @@
         places.values.removeAll { it.state != State.RESERVED && it.adapter !in held && it.adapter !in pending }
         for ((adapter, version) in held) keep(adapter, version, now, now)
         for (adapter in pending) keep(adapter, null, now + options.adapterLoad, now)
-        report = report.copy(models = survey.models)
+        surveyedModels = survey.models.map { it.name }.toSet()
+        isLoadingModel = false
     }
 
     /** Takes what [said] lists as held, until the server is asked. */
@@ -95,6 +101,7 @@
         places.clear()
         dropped.clear()
         orders = null
+        surveyedModels = emptySet()
         isLoadingModel = false
     }
 
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -181,6 +181,31 @@
             }
         }
 
+        describe("an engine that restarted empty") {
+            val empty = server("a").copy(models = emptyList())
+
+            it("is given the base model once, and is used as soon as it says that it holds it") {
+                val dispatcher = dispatcher(empty)
+                dispatcher.decide(demand()).shouldBeInstanceOf<ServeDecision.Refuse>().reason shouldBe ServeRefusal.LOADING
+                val order = checkNotNull(dispatcher.modelOrder(Duration.ZERO))
+                order.model shouldBe "m"
+                dispatcher.modelOrdered(order, taken = true, now = Duration.ZERO)
+                dispatcher.modelOrder(2.seconds) shouldBe null
+                dispatcher.unsurveyed(2.seconds).map { it.id } shouldContainExactly listOf("a")
+                dispatcher.surveyed("a", ServerSurvey(1, listOf(HeldModel("m"))), 2.seconds)
+                dispatcher.fleet(listOf(empty), 2.seconds)
+                dispatcher.modelOrder(2.seconds) shouldBe null
+                dispatcher.decide(demand(), 2.seconds).shouldBeInstanceOf<ServeDecision.Send>()
+            }
+
+            it("is given it again when the first order came to nothing") {
+                val dispatcher = dispatcher(empty)
+                dispatcher.modelOrdered(checkNotNull(dispatcher.modelOrder(Duration.ZERO)), taken = true, now = Duration.ZERO)
+                dispatcher.surveyed("a", ServerSurvey(1, emptyList()), 2.seconds)
+                checkNotNull(dispatcher.modelOrder(2.seconds)).expectedOrders shouldBe 1
+            }
+        }
+
         describe("the limit of a workspace") {
             it("holds requests back for a while and refuses those that would wait for longer") {
                 val dispatcher = dispatcher(plain("p"))
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -2,13 +2,8 @@
 
 import anvilslip.kernel.Finding
 import anvilslip.kernel.Findings
-import anvilslip.kernel.Place
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import java.io.IOException
 import java.nio.file.Path
-import kotlin.io.path.readText
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
@@ -18,28 +13,14 @@
     private val findings = Findings()
 
     /** The settings in [file]; relative paths in it are resolved against its folder. */
-    public fun read(file: Path): Either<List<Finding>, GatewaySettings> {
-        val text =
-            try {
-                file.readText()
-            } catch (e: IOException) {
-                findings.add(Place(file.toString()), "cannot be read: ${e.message}")
-                return findings.all.left()
-            }
-        return read(text, file.toString(), file.toAbsolutePath().parent)
-    }
+    public fun read(file: Path): Either<List<Finding>, GatewaySettings> = SettingsSource(findings).read(file, ::settings)
 
     /** The settings in [text], which came from [source]; relative paths are resolved against [folder]. */
     public fun read(
         text: String,
         source: String,
         folder: Path,
-    ): Either<List<Finding>, GatewaySettings> {
-        val root = LocatedParser(source, findings).parse(text)
-        if (root != null && root !is LocatedValue.Object) findings.add(root.place, "expected an object")
-        val settings = (root as? LocatedValue.Object)?.let { settings(ObjectReader(it, findings), folder) }
-        return if (settings != null && findings.all.isEmpty()) settings.right() else findings.all.left()
-    }
+    ): Either<List<Finding>, GatewaySettings> = SettingsSource(findings).read(text, source, folder, ::settings)
 
     private fun settings(
         root: ObjectReader,
--- a/settings/src/main/kotlin/anvilslip/settings/SettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/SettingsReader.kt
@@ -4,9 +4,6 @@
 import anvilslip.kernel.Findings
 import anvilslip.kernel.Place
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
-import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.exists
@@ -14,7 +11,6 @@
 import kotlin.io.path.isDirectory
 import kotlin.io.path.isReadable
 import kotlin.io.path.isWritable
-import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -24,28 +20,14 @@
     private val findings = Findings()
 
     /** The settings in [file]; paths in it are relative to its folder. */
-    public fun read(file: Path): Either<List<Finding>, Settings> {
-        val text =
-            try {
-                file.readText()
-            } catch (e: IOException) {
-                findings.add(Place(file.toString()), "cannot be read: ${e.message}")
-                return findings.all.left()
-            }
-        return read(text, file.toString(), file.toAbsolutePath().parent)
-    }
+    public fun read(file: Path): Either<List<Finding>, Settings> = SettingsSource(findings).read(file, ::settings)
 
     /** The settings in [text], which came from [source]; paths are relative to [folder]. */
     public fun read(
         text: String,
         source: String,
         folder: Path,
-    ): Either<List<Finding>, Settings> {
-        val root = LocatedParser(source, findings).parse(text)
-        if (root != null && root !is LocatedValue.Object) findings.add(root.place, "expected an object")
-        val settings = (root as? LocatedValue.Object)?.let { settings(ObjectReader(it, findings), folder) }
-        return if (settings != null && findings.all.isEmpty()) settings.right() else findings.all.left()
-    }
+    ): Either<List<Finding>, Settings> = SettingsSource(findings).read(text, source, folder, ::settings)
 
     private fun settings(
         root: ObjectReader,
