Take requests in for a third of the shutdown time only

Cause: requests were taken in for six tenths of the shutdown time and finished in three tenths. Ruled out: an idle connection closed early; the answer was under way. Change: DrainSchedule, a third and six tenths; DrainScheduleSpec fails with the shares of before.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -52,7 +52,8 @@
         val startedAt = clock.elapsed()
         val request = dialect.decode(call)
         val configuration = knowledge.inForce.configuration
-        if (configuration == null || isRefusing) return refuse(request, responder, UNAVAILABLE, "not ready", STARTING_RETRY)
+        if (isRefusing) return refuse(request, responder, UNAVAILABLE, "stopping", STOPPING_RETRY)
+        if (configuration == null) return refuse(request, responder, UNAVAILABLE, "not ready", STARTING_RETRY)
         val route = configuration.route(request.host, call.path) ?: return refuse(request, responder, NOT_FOUND, "no route")
         val workspace = request.key?.let(configuration::workspaceOf)
         if (workspace == null && !route.isPublic && configuration.needsKeys) return refuse(request, responder, UNAUTHORIZED, "unknown key")
@@ -336,5 +337,8 @@
         val LEADERLESS_POLL = 100.milliseconds
         val BUSY_RETRY = 100.milliseconds
         val STARTING_RETRY = 500.milliseconds
+
+        /** Other instances can take it at once. */
+        val STOPPING_RETRY = 20.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -74,11 +74,12 @@
         isLeaving = true
         log.info("stopping", "instance" to settings.instance, "running" to frontend?.active)
         val server = frontend ?: return
+        val schedule = DrainSchedule(settings.shutdownTime)
         server.isDraining = true
         watch.announce()
-        delay(settings.shutdownTime * SERVING_SHARE)
+        delay(schedule.serving)
         forwarder?.isRefusing = true
-        server.awaitIdle(settings.shutdownTime * FINISHING_SHARE)
+        server.awaitIdle(schedule.finishing)
         server.stopAccepting()
     }
 
@@ -209,10 +210,6 @@
         const val SNAPSHOT_EVERY = 64
         const val KEPT_ENTRIES = 16
 
-        /** Shares of the shutdown time in which requests are still taken in, and in which the last ones are finished. */
-        const val SERVING_SHARE = 0.6
-        const val FINISHING_SHARE = 0.3
-
         /** Instances may count differently for a moment, so each uses less than its part. */
         const val BUDGET_SAFETY = 0.7
     }
