--- a/entry/src/main/kotlin/anvilslip/entry/NettyFutures.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/NettyFutures.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlin.coroutines.resume
 import kotlin.coroutines.resumeWithException
@@ -16,7 +17,7 @@
 internal suspend fun ChannelFuture.awaitConnected(): Channel =
     try {
         awaitChannel()
-    } catch (e: kotlinx.coroutines.CancellationException) {
+    } catch (e: CancellationException) {
         addListener { channel().close() }
         throw e
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
@@ -6,5 +6,4 @@
 internal class Attempt(
     val number: Long,
     val decision: ServeDecision.Send,
-    val term: Long?,
 )
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -19,7 +19,6 @@
     public val promptTokens: Int = 0,
     /** Prompt and output tokens; null when they were not stated. */
     public val tokens: Long? = null,
-    public val prefix: List<String> = emptyList(),
     /** Last event that the client has of a stream it takes up again. */
     public val lastEvent: String? = null,
 )
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -113,7 +113,7 @@
                 try {
                     if (decision.holdMillis > 0) delay(decision.holdMillis)
                     exchange.sendings++
-                    sender.send(exchange, Attempt(number, decision, admitted.term))
+                    sender.send(exchange, Attempt(number, decision))
                 } finally {
                     progress.step(number, ServeStep.ENDED)
                 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
@@ -1,15 +1,20 @@
 package anvilslip.gateway
 
+import anvilslip.entry.HttpClient
 import anvilslip.entry.HttpHandler
+import kotlin.time.Duration
 
 /** How the outside world speaks to a [Gateway]. */
 public interface GatewayDialects {
+    /** Complete configurations of operators. */
     public val documents: DocumentDialect
+
+    /** Requests of clients and answers of backend servers. */
     public val requests: RequestDialect
 
     /** Orders to engines in the name of [holder], sent through [client]. */
     public fun engines(
-        client: anvilslip.entry.HttpClient,
+        client: HttpClient,
         holder: String,
     ): EngineOrders
 
@@ -19,7 +24,7 @@
     /** Questions of clients for entry instances. */
     public fun directory(
         operations: ControlOperations,
-        lifetime: kotlin.time.Duration,
+        lifetime: Duration,
     ): HttpHandler
 
     /** Questions whether an entry instance is ready. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
@@ -144,9 +144,6 @@
     /** Backend servers that have not been silent for long. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.alive(clock.elapsed(), silence) }
 
-    /** The report of [server], if any. */
-    public fun server(server: String): ServerReport? = synchronized(fleet) { fleet[server] }
-
     /** Reports since [revision] and the revision they lead to. */
     public fun reportsSince(
         revision: Long,
--- a/policy/src/main/kotlin/anvilslip/policy/ServeDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServeDecision.kt
@@ -3,6 +3,7 @@
 package anvilslip.policy
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
@@ -11,7 +12,7 @@
 public sealed interface ServeDecision {
     /** Send it to [server], not before [holdMillis] have passed. */
     @Serializable
-    @kotlinx.serialization.SerialName("send")
+    @SerialName("send")
     public data class Send(
         @CborLabel(1) val server: String,
         @CborLabel(2) val address: String,
@@ -22,7 +23,7 @@
 
     /** Do not run it; [retryMillis] from now it may fare better. */
     @Serializable
-    @kotlinx.serialization.SerialName("refuse")
+    @SerialName("refuse")
     public data class Refuse(
         @CborLabel(1) val reason: ServeRefusal,
         @CborLabel(2) val retryMillis: Long,
--- a/policy/src/main/kotlin/anvilslip/policy/ServeDemand.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServeDemand.kt
@@ -27,8 +27,6 @@
     @CborLabel(10) val adapter: String? = null,
     /** Prompt tokens to read. */
     @CborLabel(11) val promptTokens: Int = 0,
-    /** IDs of the prompt's parts, in order. */
-    @CborLabel(12) val prefix: List<String> = emptyList(),
     /** Servers that failed or refused it. */
-    @CborLabel(13) val exclude: Set<String> = emptySet(),
+    @CborLabel(12) val exclude: Set<String> = emptySet(),
 )
