Answer a watch once, and let twins share one piece

A watch made its answer, threw it away and made it again after the wait, for every instance each second; it now looks whether there is news and makes one. Both routers checked the sender and the meant replica of a message with code of their own (Replica.receive in wire); the question who leads elsewhere stood twice in ControlOperations, the joining of records twice in FileStorage, the tearing of a log twice in FileStorageSpec, whose expectations are as they were. No behaviour changes.

--- a/control/src/main/kotlin/anvilslip/control/PeerRouter.kt
+++ b/control/src/main/kotlin/anvilslip/control/PeerRouter.kt
@@ -4,6 +4,7 @@
 import anvilslip.state.Replica
 import anvilslip.wire.PeerHandler
 import anvilslip.wire.PeerMessage
+import anvilslip.wire.receive
 
 /** Hands messages of other instances to the services they are for. [replica] and [leader] are null without a data folder. */
 public class PeerRouter(
@@ -17,7 +18,7 @@
     ): PeerMessage =
         when (message) {
             is PeerMessage.Replica -> {
-                if (message.from.instance == from) receive(message)
+                replica?.receive(from, message)
                 PeerMessage.Ack
             }
 
@@ -33,9 +34,4 @@
                 leader?.handle(message) ?: PeerMessage.NotLeader(null)
             }
         }
-
-    private fun receive(message: PeerMessage.Replica) {
-        val own = replica?.view?.id ?: return
-        if (message.to == own || message.to.storage.isEmpty()) replica.receive(message.from, message.message)
-    }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpClient.kt
@@ -76,9 +76,9 @@
         val connection = channel.pipeline().get(ClientConnection::class.java)
         lateinit var written: ChannelFuture
         val answer =
-            connection.begin(
-                silence,
-            ) { allowed -> if (written.isSuccess) giveBack(address, channel, allowed) else channel.close() }
+            connection.begin(silence) { allowed ->
+                if (written.isSuccess) giveBack(address, channel, allowed) else channel.close()
+            }
         try {
             written = channel.writeAndFlush(request(address, call))
             written.awaitChannel()
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientAnswer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/HttpClientAnswer.kt
@@ -72,19 +72,9 @@
     }
 
     private fun allowedIdle(): Duration? {
-        val seconds =
-            if (whole) {
-                header("keep-alive")?.let {
-                    TIMEOUT
-                        .find(it)
-                        ?.groupValues
-                        ?.get(1)
-                        ?.toLongOrNull()
-                }
-            } else {
-                null
-            }
-        return seconds?.seconds
+        if (!whole) return null
+        val timeout = header("keep-alive")?.let { TIMEOUT.find(it) } ?: return null
+        return timeout.groupValues[1].toLongOrNull()?.seconds
     }
 
     /** Something came behind the end of the answer. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -73,8 +73,7 @@
 
     /** The newest document, or why it is not known for certain; null in it when there is none. */
     public suspend fun read(): Either<ProposeError, ConfigurationDocument?> {
-        val leader = replica.view.leader?.instance
-        if (leader == null || leader == replica.view.id.instance) return readHere()
+        val leader = leaderElsewhere() ?: return readHere()
         val answer = network.call(leader, PeerMessage.ReadDocument, READ_TIMEOUT).getOrNull()
         return (answer as? PeerMessage.DocumentReply)?.document?.right() ?: ProposeError.Unknown.left()
     }
@@ -105,12 +104,18 @@
         return if (near.size >= MIN_NEAR) near else ready
     }
 
+    /** Host of the leader; null when it is this instance or none is known. */
+    private fun leaderElsewhere(): String? {
+        val view = replica.view
+        return view.leader?.instance?.takeIf { it != view.id.instance }
+    }
+
     private suspend fun propose(command: Command): Outcome? {
         val deadline = clock.elapsed() + PROPOSE_TIMEOUT
         while (clock.elapsed() < deadline) {
-            val leader = replica.view.leader?.instance
-            val here = leader == null || leader == replica.view.id.instance
-            val outcome = if (here) replica.propose(command).getOrNull() else proposeAt(leader, command, deadline - clock.elapsed())
+            val leader = leaderElsewhere()
+            val outcome =
+                if (leader == null) replica.propose(command).getOrNull() else proposeAt(leader, command, deadline - clock.elapsed())
             if (outcome != null) return outcome
             delay(PROPOSE_RETRY)
         }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
@@ -3,6 +3,7 @@
 import anvilslip.state.Replica
 import anvilslip.wire.PeerHandler
 import anvilslip.wire.PeerMessage
+import anvilslip.wire.receive
 
 /** Hands messages of other instances to the services of a control instance. */
 public class ControlRouter(
@@ -16,7 +17,7 @@
         message: PeerMessage,
     ): PeerMessage =
         when (message) {
-            is PeerMessage.Replica -> receive(from, message)
+            is PeerMessage.Replica -> replica.receive(from, message).let { PeerMessage.Ack }
             is PeerMessage.Watch -> watchers.answer(from, message)
             is PeerMessage.Admit -> dispatch.admit(message.demand)
             is PeerMessage.Progress -> dispatch.progress(message).let { PeerMessage.Ack }
@@ -26,16 +27,6 @@
             else -> PeerMessage.Failed("not understood here")
         }
 
-    private fun receive(
-        from: String,
-        message: PeerMessage.Replica,
-    ): PeerMessage {
-        val own = replica.view.id
-        val isMeant = message.to == own || message.to.storage.isEmpty()
-        if (message.from.instance == from && isMeant) replica.receive(message.from, message.message)
-        return PeerMessage.Ack
-    }
-
     private suspend fun propose(message: PeerMessage.Propose): PeerMessage =
         replica.propose(message.command).fold({ PeerMessage.ProposeReply(error = it) }, { PeerMessage.ProposeReply(outcome = it) })
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -15,7 +15,6 @@
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
 import anvilslip.state.AdapterName
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
@@ -87,8 +86,6 @@
         try {
             val finished = withTimeoutOrNull(exchange.deadline - clock.elapsed()) { serve(exchange) }
             outcome = finished ?: expire(exchange)
-        } catch (e: CancellationException) {
-            throw e
         } finally {
             note(exchange, outcome)
         }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -47,9 +47,7 @@
         val entry = watch.entry
         if (entry != null) hear(entry) else controls[from] = clock.elapsed()
         val known = knowledge.changeCount
-        val first = reply(watch)
-        if (watch.waitMillis <= 0 || !isEmpty(first, watch)) return first
-        knowledge.awaitChange(known, watch.waitMillis.milliseconds)
+        if (watch.waitMillis > 0 && !hasNews(watch)) knowledge.awaitChange(known, watch.waitMillis.milliseconds)
         return reply(watch)
     }
 
@@ -57,10 +55,13 @@
         entries[entry.host] = Heard(entry, clock.elapsed())
     }
 
-    private fun isEmpty(
-        reply: PeerMessage.WatchReply,
-        watch: PeerMessage.Watch,
-    ): Boolean = reply.document == null && reply.namedVersions == null && watch.incarnation == incarnation
+    /** True when something is in force here that the asking instance lacks, or when it has asked another incarnation so far. */
+    private fun hasNews(watch: PeerMessage.Watch): Boolean {
+        val inForce = knowledge.inForce
+        val version = inForce.document?.version
+        return watch.incarnation != incarnation || inForce.versionsRevision > watch.namedRevision ||
+            (version != null && version > watch.documentVersion)
+    }
 
     private fun reply(watch: PeerMessage.Watch): PeerMessage.WatchReply {
         val fresh = watch.incarnation != incarnation
--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -103,7 +103,7 @@
         generation++
         val next = logPath(generation)
         val records = listOfNotNull(StoredRecord.Voted(vote), StoredRecord.Entries(tail).takeIf { tail.isNotEmpty() })
-        replaceFile(next.name, records.map { RecordCodec.encode(StoredRecord.serializer(), it) }.fold(ByteArray(0), ByteArray::plus))
+        replaceFile(next.name, encode(records))
         log = FileChannel.open(next, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
         previous?.close()
         previousPath.deleteIfExists()
@@ -112,12 +112,15 @@
     private fun append(records: List<StoredRecord>) {
         val channel = checkNotNull(log) { "storage is closed" }
         // One write, so that only a prefix of it can be there after a loss of power.
-        val frames = ByteBuffer.wrap(records.map { RecordCodec.encode(StoredRecord.serializer(), it) }.fold(ByteArray(0), ByteArray::plus))
+        val frames = ByteBuffer.wrap(encode(records))
         while (frames.hasRemaining()) channel.write(frames)
         channel.force(false)
         onSync()
     }
 
+    private fun encode(records: List<StoredRecord>): ByteArray =
+        records.map { RecordCodec.encode(StoredRecord.serializer(), it) }.fold(ByteArray(0), ByteArray::plus)
+
     private fun readIdentity(): String {
         val path = folder.resolve("identity")
         if (path.exists()) return path.readText().trim()
--- a/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
@@ -71,37 +71,32 @@
             }
         }
 
+        /** Tears the last of three records at every length, and expects the first two to be given back. */
+        fun tearing(tear: (file: RandomAccessFile, written: Long, whole: Long) -> Unit) {
+            val folder = folder()
+            stored(folder)
+            val whole = log(folder).fileSize()
+            stored(folder.resolve("shorter"), count = 2)
+            val before = log(folder.resolve("shorter")).fileSize()
+            for (written in before until whole) {
+                val torn = folder()
+                stored(torn)
+                RandomAccessFile(log(torn).toFile(), "rw").use { tear(it, written, whole) }
+                FileStorage(torn).recover().entries.map { it.index } shouldBe listOf(1L, 2L)
+            }
+        }
+
         describe("a torn last record") {
             it("is cut off at every length") {
-                val folder = folder()
-                stored(folder)
-                val whole = log(folder).fileSize()
-                stored(folder.resolve("shorter"), count = 2)
-                val before = log(folder.resolve("shorter")).fileSize()
-                for (length in before until whole) {
-                    val torn = folder()
-                    stored(torn)
-                    RandomAccessFile(log(torn).toFile(), "rw").use { it.setLength(length) }
-                    FileStorage(torn).recover().entries.map { it.index } shouldBe listOf(1L, 2L)
-                }
+                tearing { file, written, _ -> file.setLength(written) }
             }
         }
 
         describe("a last record whose length reached the disk before its end") {
             it("is cut off wherever its data ends") {
-                val folder = folder()
-                stored(folder)
-                val whole = log(folder).fileSize()
-                stored(folder.resolve("shorter"), count = 2)
-                val before = log(folder.resolve("shorter")).fileSize()
-                for (written in before until whole) {
-                    val torn = folder()
-                    stored(torn)
-                    RandomAccessFile(log(torn).toFile(), "rw").use {
-                        it.setLength(written)
-                        it.setLength(whole)
-                    }
-                    FileStorage(torn).recover().entries.map { it.index } shouldBe listOf(1L, 2L)
+                tearing { file, written, whole ->
+                    file.setLength(written)
+                    file.setLength(whole)
                 }
             }
         }
