Refuse later, copy less: decisions tried on an engine model of our own

Cause: the leader's estimate of a wait errs on the long side, and 0.85 of the target as its bound refused requests that would have been answered in time; a request waited up to 300 ms for a place, which made it late when engines were few; adapters were copied for each 150 ms saved, though only the target counts. Change: EngineModel and DispatchTrial replay the worst loads in virtual time against the dispatcher itself; bound 1.3 of the target, 100 ms for a place, a holder within 0.6 of the target is used before a copy.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Admitter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Admitter.kt
@@ -61,7 +61,7 @@
     }
 
     private companion object {
-        /** A request waits up to 300 ms at the leader; one that takes longer is cut off or frozen. */
+        /** A request waits up to 100 ms at the leader, besides orders; one that takes longer is cut off or frozen. */
         val ANSWER_TIMEOUT = 450.milliseconds
         val AVOIDANCE = 300.milliseconds
         const val ROUNDS = 2
--- a/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
@@ -154,6 +154,12 @@
             fleet.changesSince(revision, directOnly) to fleet.revision
         }
 
+    /** True when a server has changed after [revision]; only one that said so here itself counts when [directOnly]. */
+    public fun hasServerChangeSince(
+        revision: Long,
+        directOnly: Boolean,
+    ): Boolean = synchronized(fleet) { fleet.hasChangedSince(revision, directOnly) }
+
     private fun noteServer(
         report: ServerReport,
         change: FleetTable.Change,
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -295,7 +295,7 @@
         private const val MAX_LOADS = 3
 
         /** How long a request waits here for a place to become free; the entry instance waits somewhat longer for the answer. */
-        private val PLACE_WAIT = 300.milliseconds
+        private val PLACE_WAIT = 100.milliseconds
         private val PLACE_POLL = 25.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -60,7 +60,8 @@
         val inForce = knowledge.inForce
         val version = inForce.document?.version
         return watch.incarnation != incarnation || inForce.versionsRevision > watch.namedRevision ||
-            (version != null && version > watch.documentVersion)
+            (version != null && version > watch.documentVersion) ||
+            knowledge.hasServerChangeSince(watch.fleetRevision, directOnly = watch.entry == null)
     }
 
     private fun reply(watch: PeerMessage.Watch): PeerMessage.WatchReply {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -22,15 +22,19 @@
     /** Adapters a server has dropped last that it can take back quickly. */
     val warmAdapters: Int = 24,
     /** What a second copy of an adapter must save for it to be loaded. */
-    val copyThreshold: Duration = 150.milliseconds,
+    val copyThreshold: Duration = 400.milliseconds,
+    /** Share of a request's target that it may wait at a server that holds its adapter before another copy is thought of. */
+    val holderShare: Double = 0.6,
+    /** Disadvantage of a load from the weight store, which all servers share, against one that a server can do by itself. */
+    val fetchPenalty: Duration = 400.milliseconds,
     /** Disadvantage of a server in another zone, for the bytes between zones. */
     val zonePenalty: Duration = 20.milliseconds,
     /** Time a plain request takes, until it has been measured. */
     val serviceTime: Duration = 40.milliseconds,
     /** Share of an engine's token memory that may be planned for. */
     val memoryShare: Double = 0.9,
-    /** Share of a request's target that waiting may take. */
-    val waitShare: Double = 0.85,
+    /** Expected wait at which a request is refused, as a share of its target; over 1, since the estimate errs on the long side. */
+    val waitShare: Double = 1.3,
     /** Share of a request's target that it may wait for tokens of its workspace to flow in. */
     val limitWaitShare: Double = 0.5,
     /** How long a server that could not be reached is passed over. */
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -170,7 +170,7 @@
 
         fun holdCost(server: DispatchServer) = fleet.cost(server, demand) + loads.remainingLoad(server, adapter, now)
         val holder = up.filter { loads.isCurrent(it, adapter, version) }.minByOrNull(::holdCost)
-        val loader = loads.loader(demand, adapter, up, now)
+        val loader = if (holder != null && isSoon(holdCost(holder), demand)) null else loads.loader(demand, adapter, up, now)
         val loadCost = loader?.let { fleet.cost(it, demand) + loads.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holdCost(holder) <= loadCost + options.copyThreshold) {
             val place = holder.places.getValue(adapter)
@@ -182,6 +182,12 @@
         return Admission.Load(loads.start(loader, model, adapter, version, now))
     }
 
+    /** True when a wait of [wait] at a server that holds the adapter leaves enough of the target for another copy to gain nothing. */
+    private fun isSoon(
+        wait: Duration,
+        demand: ServeDemand,
+    ): Boolean = wait < minOf(demand.targetMillis, demand.leftMillis).milliseconds * options.holderShare
+
     private fun send(
         demand: ServeDemand,
         server: DispatchServer,
--- a/policy/src/main/kotlin/anvilslip/policy/EngineLoads.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EngineLoads.kt
@@ -54,9 +54,14 @@
         val able = up.filter { canOrder(it, now) && it.loading(now) < options.loadsPerServer && canTake(it, adapter, now) }
         val warm = able.filter { it.isWarm(adapter) }
         val cold = able.takeIf { loading(now) < concurrentLoads(up.size) }.orEmpty()
-        return (warm + cold).minByOrNull { fleet.cost(it, demand) + loadTime(it, adapter) + evictionCost(it, now) }
+        return (warm + cold).minByOrNull { fleet.cost(it, demand) + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now) }
     }
 
+    private fun fetchCost(
+        server: DispatchServer,
+        adapter: String,
+    ): Duration = if (server.isWarm(adapter)) Duration.ZERO else options.fetchPenalty
+
     private fun canOrder(
         server: DispatchServer,
         now: Duration,
--- a/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
@@ -24,6 +24,8 @@
         val report: ServerReport,
         val heardAt: Duration,
         val revision: Long,
+        /** Revision at which it last became other than it was. */
+        val changedAt: Long,
         val direct: Boolean,
     )
 
@@ -47,8 +49,10 @@
             it.report.address == report.address && it.report.id != report.id &&
                 report.bornMillis > it.report.bornMillis
         }
-        entries[report.id] = Entry(report, now, ++revision, direct)
-        return if (known != null && known.report.sameAs(report)) Change.REFRESHED else Change.CHANGED
+        revision++
+        val same = known != null && known.report.sameAs(report)
+        entries[report.id] = Entry(report, now, revision, if (same) known.changedAt else revision, direct)
+        return if (same) Change.REFRESHED else Change.CHANGED
     }
 
     /** Takes in that the server [id] has signed off; [bornMillis] is used when it was not known. */
@@ -69,6 +73,12 @@
         directOnly: Boolean,
     ): List<ServerReport> = entries.values.filter { it.revision > since && (it.direct || !directOnly) }.map { it.report }
 
+    /** True when a server has changed after [since]; only one that said so here itself counts when [directOnly]. */
+    public fun hasChangedSince(
+        since: Long,
+        directOnly: Boolean,
+    ): Boolean = entries.values.any { it.changedAt > since && (it.direct || !directOnly) }
+
     /** Servers that have not signed off and were heard within [silence]. */
     public fun alive(
         now: Duration,
--- a/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
@@ -47,6 +47,34 @@
             }
         }
 
+        describe("news since a revision") {
+            it("are changes, not reports that say the same again") {
+                val table = FleetTable()
+                table.hear(report(sequence = 1))
+                val known = table.revision
+                table.hear(report(sequence = 2))
+                table.hasChangedSince(known, directOnly = false) shouldBe false
+                table.hear(report(sequence = 3, phase = ServerPhase.DRAINING))
+                table.hasChangedSince(known, directOnly = false) shouldBe true
+            }
+
+            it("last through later reports that refresh them") {
+                val table = FleetTable()
+                table.hear(report(sequence = 1))
+                val known = table.revision
+                table.hear(report(sequence = 2, phase = ServerPhase.DRAINING))
+                table.hear(report(sequence = 3, phase = ServerPhase.DRAINING))
+                table.hasChangedSince(known, directOnly = false) shouldBe true
+            }
+
+            it("leave out what came by way of others, for those who ask for reports made here") {
+                val table = FleetTable()
+                table.take(report(sequence = 1), direct = false, now = Duration.ZERO)
+                table.hasChangedSince(0, directOnly = true) shouldBe false
+                table.hasChangedSince(0, directOnly = false) shouldBe true
+            }
+        }
+
         describe("an address that is used again") {
             it("belongs to the server that started last") {
                 val table = FleetTable()
--- a/standin/src/main/kotlin/anvilslip/standin/Main.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Main.kt
@@ -201,6 +201,19 @@
     }
 }
 
+@OptIn(ExperimentalCli::class)
+private class DispatchCommand : Subcommand("dispatch", "The leader's decisions on loads at their worst, in virtual time") {
+    val seeds by option(ArgType.Int, "seeds").default(10)
+    val load by option(ArgType.String, "load", description = "Name of one load; all when left out")
+    val engines by option(ArgType.Int, "engines").default(DispatchTrialOptions().engines)
+
+    override fun execute() {
+        val options = DispatchTrialOptions(engines = engines)
+        val loads = DispatchLoad.ALL.filter { load == null || it.name == load }
+        println(DispatchTrialReport.table(loads.flatMap { each -> (1L..seeds).map { DispatchTrial(options, each, it).run() } }))
+    }
+}
+
 @OptIn(ExperimentalCli::class)
 private class CostCommand : Subcommand("cost", "What decisions and the configuration cost at several sizes") {
     override fun execute() {
@@ -222,6 +235,7 @@
         LoadCommand(),
         BookingsCommand(),
         ExperimentCommand(),
+        DispatchCommand(),
         CostCommand(),
     )
     parser.parse(args)
