Elect within 0.6 s, repeat unanswered orders at once, let broken streams wait for a place

Cause: after every process is killed 1.2 s passed before a leader was elected and 0.55 s more before it gave orders; an order without an answer took the engine out of use for half a second, where three in ten are lost; a stream that resumed on another engine was charged again and broken off when that was refused. Ruled out: shorter waits without the first pause (a leader from before may hold its lease). Change: election timeout 600 ms with heartbeats of 150 ms, PersistentOrders, one charge a request, 1.5 s of patience for streams that have begun.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -28,5 +28,8 @@
     var hasBegun = false
     var isCharged = false
     var lastServer: String? = null
+
+    /** When the answer of a server broke off last. */
+    var brokenAt: Duration? = null
     var lastTerm: Long? = null
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -118,13 +118,23 @@
         }
     }
 
-    /** Waits a little while there is no leader, since one is elected within about a second. */
+    /**
+     * Waits a little while there is no leader, since one is elected within about a second, and when an answer has begun, since a
+     * client that sees a pause is better off than one whose answer is broken off.
+     */
     private suspend fun mayWait(
         exchange: Exchange,
         refusal: ServeDecision.Refuse,
         term: Long?,
     ): Boolean {
-        val waited = clock.elapsed() - exchange.startedAt
+        val now = clock.elapsed()
+        val brokenAt = exchange.brokenAt
+        if (exchange.hasBegun && brokenAt != null) {
+            if (now - brokenAt > RESUME_PATIENCE) return false
+            delay(RESUME_POLL)
+            return true
+        }
+        val waited = now - exchange.startedAt
         if (term != null || refusal.reason == ServeRefusal.OVER_LIMIT ||
             waited > exchange.route.target * LEADERLESS_WAIT_SHARE
         ) {
@@ -148,7 +158,7 @@
 
             is AttemptResult.NotRun -> {
                 log.info("not_run", "request_id" to exchange.request.attempt, "server" to decision.server, "reason" to result.reason)
-                exchange.isCharged = false
+                exchange.isCharged = exchange.runs > 0
                 exchange.excluded += decision.server
                 if (exchange.sendings < MAX_SENDINGS && mayRepeat(exchange)) return null
                 return fail(exchange, if (exchange.runs == 0) UNAVAILABLE else BAD_GATEWAY, "server_busy", BUSY_RETRY)
@@ -167,6 +177,7 @@
             is AttemptResult.Broken -> {
                 log.info("broken", "request_id" to exchange.request.attempt, "server" to decision.server, "reason" to result.reason)
                 exchange.runs++
+                exchange.brokenAt = clock.elapsed()
                 exchange.excluded += decision.server
                 if (canRunAgain(exchange) && mayRepeat(exchange)) return null
                 return fail(exchange, BAD_GATEWAY, "broken", null)
@@ -332,6 +343,10 @@
         /** Share of a request's target that it may wait for a leader. */
         const val LEADERLESS_WAIT_SHARE = 0.5
         val LEADERLESS_POLL = 100.milliseconds
+
+        /** Clients give a stream up after a pause of two seconds. */
+        val RESUME_PATIENCE = 1500.milliseconds
+        val RESUME_POLL = 50.milliseconds
         val BUSY_RETRY = 100.milliseconds
         val STARTING_RETRY = 500.milliseconds
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -117,7 +117,7 @@
     private fun installControl(): PeerHandler {
         val replica = kernel.install(replica())
         val watchers = WatchResponder(settings.host, incarnation, knowledge, replica, clock)
-        val engines = dialects.engines(client, settings.instance)
+        val engines = PersistentOrders(dialects.engines(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
         val dispatch = kernel.install(LeaderDispatch(replica, knowledge, watchers, engines, DispatchOptions(), handover, clock))
         val operations = ControlOperations(dialects.documents, knowledge, replica, network, watchers, clock)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -254,7 +254,8 @@
             synchronized(lock) { current.dispatcher.evicted(order, evicted, taken) }
         }
         val load = EngineOrder(order.server, order.address, true, order.model, order.adapter, order.version, taken)
-        if (give(current, load) != OrderReply.TAKEN) return failed(current, order)
+        val reply = give(current, load)
+        if (reply != OrderReply.TAKEN && reply != OrderReply.HOLDS) return failed(current, order)
         synchronized(lock) { current.dispatcher.loadStarted(order, taken + 1, clock.elapsed()) }
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -54,7 +54,7 @@
         val best =
             able.minByOrNull { runningOn(it.id) + if (it.zone == demand.zone) 0.0 else OTHER_ZONE }
                 ?: return ServeDecision.Refuse(ServeRefusal.LOADING, RETRY.inWholeMilliseconds)
-        val bucket = demand.workspace?.let { bucket(it, now) }
+        val bucket = demand.workspace?.takeIf { demand.charge > 0 }?.let { bucket(it, now) }
         val wait = bucket?.wait(demand.charge.toDouble(), now) ?: Duration.ZERO
         if (wait.isPositive()) return ServeDecision.Refuse(ServeRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
         bucket?.spend(demand.charge.toDouble(), now)
--- a/gateway/src/main/kotlin/anvilslip/gateway/OrderHandover.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/OrderHandover.kt
@@ -31,6 +31,6 @@
 
     private companion object {
         /** A leader before that is up acknowledges the new one within a few heartbeats. */
-        val GREETING = 500.milliseconds
+        val GREETING = 350.milliseconds
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
@@ -8,6 +8,8 @@
     val name: String,
     /** Requests a second in ordinary times. */
     val requestsPerSecond: Double = 29.0,
+    /** Requests that come at the same moment. */
+    val clump: Int = 3,
     /** From when to when clients send [surge] times as much. */
     val surgeFrom: Duration = Duration.ZERO,
     val surgeTo: Duration = Duration.ZERO,
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -45,9 +45,9 @@
         if (time.now >= load.duration) return
         val surging = time.now >= load.surgeFrom && time.now < load.surgeTo
         val factor = if (surging && !load.surgeOfOne) load.surge else 1.0
-        time.at(time.now + exponential(load.requestsPerSecond * factor)) { arrive() }
-        submit(draw(options.workspaces), surging)
-        val extra = if (surging && load.surgeOfOne) (load.surge - 1) * options.workspaces.first() else 0.0
+        time.at(time.now + exponential(load.requestsPerSecond * factor / load.clump)) { arrive() }
+        repeat(load.clump) { submit(draw(options.workspaces), surging) }
+        val extra = if (surging && load.surgeOfOne) (load.surge - 1) * options.workspaces.first() * load.clump else 0.0
         repeat(extra.toInt() + if (random.nextDouble() < extra % 1) 1 else 0) { submit(0, surging) }
     }
 
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -40,7 +40,7 @@
 
     private var voters: Set<ReplicaId> = log.latestVoters()
     private var lastLeaderContact = now
-    private var electionDeadline = now + timeout()
+    private var electionDeadline = now + firstTimeout()
     private var probing = false
     private val votes = mutableSetOf<ReplicaId>()
     private val progress = mutableMapOf<ReplicaId, Progress>()
@@ -150,6 +150,9 @@
     private fun timeout(): Duration =
         options.electionTimeout + random.nextInt(options.electionTimeout.inWholeMilliseconds.toInt()).milliseconds
 
+    /** After a start nobody may vote sooner, since a leader from before may hold a lease; all have waited for as long. */
+    private fun firstTimeout(): Duration = options.electionTimeout + (timeout() - options.electionTimeout) / 2
+
     private fun send(
         to: ReplicaId,
         message: ReplicaMessage,
--- a/state/src/main/kotlin/anvilslip/state/ReplicaOptions.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaOptions.kt
@@ -5,8 +5,9 @@
 
 /** Timing and sizes of the replicated log. */
 public data class ReplicaOptions(
-    val heartbeat: Duration = 200.milliseconds,
-    val electionTimeout: Duration = 1000.milliseconds,
+    val heartbeat: Duration = 150.milliseconds,
+    /** Silence of the leader after which another may be elected; four heartbeats, so that one lost packet or a pause ends no term. */
+    val electionTimeout: Duration = 600.milliseconds,
     /** How often a replica without state asks the others for theirs. */
     val census: Duration = 500.milliseconds,
     /** Clocks of two replicas may run apart by this share of any duration. */
