--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -177,7 +177,7 @@
             if (place.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
             return send(demand, holder, maxOf(place.readyAt - now, limitWait), version, now)
         }
-        if (loader == null) return refuse(ServeRefusal.LOADING, options.adapterLoad, up.size)
+        if (loader == null) return refuse(ServeRefusal.LOADING, options.adapterLoad / 2, up.size)
         if (fleet.isTooLate(loadCost, demand)) return refuse(ServeRefusal.BUSY, retryAfter(loadCost, demand), up.size, loadCost)
         return Admission.Load(loads.start(loader, model, adapter, version, now))
     }
@@ -202,10 +202,11 @@
         return Admission.Decided(ServeDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
+    /** Early enough for an answer within the target should the queue shrink by then; later ones are worth less to the client. */
     private fun retryAfter(
         wait: Duration,
         demand: ServeDemand,
-    ): Duration = (wait - demand.targetMillis.milliseconds / 2).coerceIn(MIN_RETRY, MAX_RETRY)
+    ): Duration = (wait / 2 - demand.targetMillis.milliseconds / 4).coerceIn(MIN_RETRY, MAX_RETRY)
 
     private fun refuse(
         reason: ServeRefusal,
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -17,12 +17,15 @@
     val refused: Double,
     /** Share never served. */
     val unserved: Double,
-    /** Lowest share served of a workspace. */
-    val worstWorkspace: Double,
+    /** Share served of each workspace that sent requests, the largest workspace first. */
+    val servedByWorkspace: List<Double>,
     /** Lowest share served of a kind of request. */
     val worstKind: Double,
     /** Loads from the weight store for each hundred requests. */
     val fetches: Double,
     /** Prompt tokens read for each token of the prompts that were answered. */
     val readShare: Double,
-)
+) {
+    /** Lowest share served of a workspace. */
+    val worstWorkspace: Double get() = servedByWorkspace.min()
+}
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -137,7 +137,12 @@
             late = answered.count { earned(it) < it.worth }.toDouble() / owed.size,
             refused = owed.count { it.refusals > 0 }.toDouble() / owed.size,
             unserved = 1 - answered.size.toDouble() / owed.size,
-            worstWorkspace = owed.groupBy { it.workspace }.values.minOf(::served),
+            servedByWorkspace =
+                owed
+                    .groupBy { it.workspace }
+                    .toSortedMap()
+                    .values
+                    .map(::served),
             worstKind = owed.groupBy { it.kind }.values.minOf(::served),
             fetches = fetches * PERCENT / requests.size,
             readShare = tokensRead.toDouble() / answered.sumOf { it.promptTokens },
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -212,7 +212,7 @@
                 core.currentVoters,
                 core.state,
                 core.leaseUntil,
-                core.followers,
+                core.acknowledged,
             )
         if (core.state !== before) onState(core.state)
     }
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -43,24 +43,12 @@
     private var electionDeadline = now + firstTimeout()
     private var probing = false
     private val votes = mutableSetOf<ReplicaId>()
-    private val progress = mutableMapOf<ReplicaId, Progress>()
-    private val joining = mutableMapOf<ReplicaId, Duration>()
-    private var round = 0L
-    private val roundsSent = ArrayDeque<Pair<Long, Duration>>()
-    private var confirmedAt: Duration? = null
+    private val followers = Followers(id, options)
+    private val founding = Founding(id, members)
     private var nextHeartbeat = now
-    private val blankPeers = mutableSetOf<ReplicaId>()
 
     private var output = ReplicaOutput()
 
-    private class Progress(
-        var next: Long,
-        var match: Long = 0,
-        var round: Long = 0,
-        var lastReply: Duration,
-        var installedAt: Duration? = null,
-    )
-
     /** Current term. */
     public val term: Long get() = vote.term
 
@@ -80,12 +68,11 @@
     public val leaseUntil: Duration?
         get() {
             val committedOwnTerm = log.termAt(commit) == term
-            return confirmedAt?.takeIf { role == ReplicaRole.LEADER && committedOwnTerm }?.plus(options.leaderLease)
+            return followers.confirmedAt?.takeIf { role == ReplicaRole.LEADER && committedOwnTerm }?.plus(options.leaderLease)
         }
 
     /** Replicas that have acknowledged this leader in its term; empty when it does not lead. */
-    public val followers: Set<ReplicaId>
-        get() = if (role == ReplicaRole.LEADER) progress.filterValues { it.match > 0 }.keys.toSet() else emptySet()
+    public val acknowledged: Set<ReplicaId> get() = if (role == ReplicaRole.LEADER) followers.acknowledged else emptySet()
 
     /** True while [leaseUntil] lies ahead. */
     public fun holdsLease(now: Duration): Boolean = leaseUntil?.let { now < it } ?: false
@@ -219,7 +206,7 @@
             if (isBlank && mayFound) send(unknown, ReplicaMessage.Census())
             send(unknown, ReplicaMessage.Join())
         }
-        if (isBlank && mayFound && members == setOf(id.instance)) startLog(setOf(id))
+        if (isBlank && mayFound && founding.isAlone) startLog(setOf(id))
     }
 
     /** A founder that is blank under its first identity has stored nothing, so it missed the founding and may be told again. */
@@ -236,10 +223,7 @@
         reply: ReplicaMessage.CensusReply,
     ) {
         if (!isBlank || !mayFound) return
-        blankPeers.removeAll { it.instance == from.instance }
-        if (reply.blank) blankPeers += from
-        val all = blankPeers + id
-        if (id.instance != members.min() || all.map { it.instance }.toSet() != members) return
+        val all = founding.take(from, reply.blank) ?: return
         startLog(all)
         for (founder in all - id) send(founder, ReplicaMessage.Found(all))
     }
@@ -302,11 +286,8 @@
         role = ReplicaRole.LEADER
         leader = id
         probing = false
-        progress.clear()
-        joining.clear()
-        roundsSent.clear()
-        confirmedAt = null
-        for (voter in voters - id) progress[voter] = Progress(next = log.lastIndex + 1, lastReply = now)
+        followers.clear()
+        followers.add(voters - id, log.lastIndex + 1, now)
         appendAsLeader(listOf(Payload.Noop), now)
     }
 
@@ -318,9 +299,7 @@
         role = ReplicaRole.FOLLOWER
         leader = newLeader
         probing = false
-        confirmedAt = null
-        progress.clear()
-        joining.clear()
+        followers.clear()
     }
 
     private fun appendAsLeader(
@@ -329,14 +308,13 @@
     ) {
         var index = log.lastIndex
         appendToLog(payloads.map { LogEntry(++index, term, it) })
-        for (voter in voters - id) progress.getOrPut(voter) { Progress(next = log.lastIndex + 1, lastReply = now) }
+        followers.add(voters - id, log.lastIndex + 1, now)
         broadcast(now)
         advanceCommit(now)
     }
 
     private fun tickLeader(now: Duration) {
-        val heard = progress.filter { now - it.value.lastReply < options.electionTimeout }.keys + id
-        if (!isQuorum(heard)) {
+        if (!isQuorum(followers.heard(now))) {
             stepDown(term, null)
             electionDeadline = now + timeout()
             return
@@ -347,16 +325,14 @@
 
     private fun broadcast(now: Duration) {
         nextHeartbeat = now + options.heartbeat
-        round++
-        roundsSent.addLast(round to now)
-        while (roundsSent.size > MAX_ROUNDS) roundsSent.removeFirst()
-        for ((replica, state) in progress) sendEntries(replica, state, now)
-        confirmRounds()
+        followers.beginRound(now)
+        for ((replica, state) in followers.all) sendEntries(replica, state, now)
+        followers.confirmRounds(::isQuorum)
     }
 
     private fun sendEntries(
         to: ReplicaId,
-        state: Progress,
+        state: Followers.Progress,
         now: Duration,
     ) {
         val previous = state.next - 1
@@ -367,20 +343,20 @@
             return
         }
         val entries = log.from(state.next, options.maxEntriesPerAppend)
-        send(to, ReplicaMessage.Append(term, previous, previousTerm, entries, commit, round))
+        send(to, ReplicaMessage.Append(term, previous, previousTerm, entries, commit, followers.lastRound))
         state.next += entries.size
     }
 
     private fun sendSnapshot(
         to: ReplicaId,
-        state: Progress,
+        state: Followers.Progress,
         snapshot: Snapshot,
         now: Duration,
     ) {
         val sent = state.installedAt
         if (sent != null && now < sent + options.snapshotResend) return
         state.installedAt = now
-        send(to, ReplicaMessage.Install(term, snapshot, round))
+        send(to, ReplicaMessage.Install(term, snapshot, followers.lastRound))
     }
 
     private fun onAppend(
@@ -457,18 +433,18 @@
             stepDown(reply.term, null)
             return
         }
-        val state = progress[from]
+        val state = followers[from]
         if (role != ReplicaRole.LEADER || reply.term != term || state == null) return
         state.lastReply = now
         state.round = maxOf(state.round, reply.round)
         if (reply.accepted) onMatch(from, state, reply.matchIndex, now) else state.next = reply.matchIndex + 1
         if (!reply.accepted) sendEntries(from, state, now)
-        confirmRounds()
+        followers.confirmRounds(::isQuorum)
     }
 
     private fun onMatch(
         from: ReplicaId,
-        state: Progress,
+        state: Followers.Progress,
         match: Long,
         now: Duration,
     ) {
@@ -476,18 +452,11 @@
         state.match = maxOf(state.match, match)
         state.next = maxOf(state.next, state.match + 1)
         advanceCommit(now)
-        if (progress[from] === state && state.next <= log.lastIndex) sendEntries(from, state, now)
-    }
-
-    private fun confirmRounds() {
-        val confirmed = roundsSent.lastOrNull { (number, _) -> isQuorum(progress.filter { it.value.round >= number }.keys + id) } ?: return
-        confirmedAt = confirmed.second
-        while (roundsSent.first().first < confirmed.first) roundsSent.removeFirst()
+        if (followers[from] === state && state.next <= log.lastIndex) sendEntries(from, state, now)
     }
 
     private fun advanceCommit(now: Duration) {
-        val matches = voters.map { if (it == id) log.lastIndex else progress[it]?.match ?: 0 }.sorted()
-        val majority = matches[(matches.size - 1) / 2]
+        val majority = followers.majorityIndex(voters, log.lastIndex)
         if (majority > commit && log.termAt(majority) == term) {
             commitUpTo(majority)
             if (id !in voters) stepDown(term, null) else forgetRemoved()
@@ -497,7 +466,7 @@
 
     private fun forgetRemoved() {
         if (log.latestMembershipIndex() > commit) return
-        progress.keys.removeAll { it !in voters && it !in joining }
+        followers.keepOnly(voters)
     }
 
     private fun commitUpTo(index: Long) {
@@ -522,44 +491,13 @@
     ) {
         if (role != ReplicaRole.LEADER || from in voters) return
         if (options.voterTarget == null && from.instance !in members) return
-        joining[from] = now
-        val state = progress.getOrPut(from) { Progress(next = log.lastIndex + 1, lastReply = now) }
-        sendEntries(from, state, now)
+        sendEntries(from, followers.join(from, log.lastIndex + 1, now), now)
     }
 
     /** Takes in a replica that holds everything committed or drops a lost one, one change at a time. */
     private fun promoteJoined(now: Duration) {
         if (role != ReplicaRole.LEADER || log.latestMembershipIndex() > commit || log.termAt(commit) != term) return
-        joining.entries.removeAll { now - it.value > JOIN_TIMEOUT }
-        val ready = joining.keys.filter { (progress[it]?.match ?: 0) >= commit }
-        val next = nextVoters(ready, now) ?: return
-        joining.keys.removeAll(next)
+        val next = followers.nextVoters(voters, commit, now) ?: return
         appendAsLeader(listOf(Payload.Membership(next)), now)
     }
-
-    private fun nextVoters(
-        ready: List<ReplicaId>,
-        now: Duration,
-    ): Set<ReplicaId>? {
-        val target = options.voterTarget
-        val returned = ready.firstOrNull { candidate -> voters.any { it.instance == candidate.instance } }
-        if (returned != null) return voters.filter { it.instance != returned.instance || it == id }.toSet()
-        if (target == null) return ready.firstOrNull()?.let { voters + it }
-        val lost = voters.firstOrNull { it != id && isLost(it, now) }
-        return when {
-            voters.size > target -> lost?.let { voters - it }
-            voters.size < target || lost != null -> ready.firstOrNull()?.let { voters + it }
-            else -> null
-        }
-    }
-
-    private fun isLost(
-        replica: ReplicaId,
-        now: Duration,
-    ): Boolean = progress[replica]?.let { now - it.lastReply > options.replaceAfter } ?: false
-
-    private companion object {
-        const val MAX_ROUNDS = 64
-        val JOIN_TIMEOUT = 5_000.milliseconds
-    }
 }
