Tell entry instances that servers are alive by number alone, not by their whole report

Change: changes are sent in full and at once as before; a report that says nothing new is told by its number, and only by the instance that heard it; adapters are told every four seconds. Ruled out: asking fewer control instances, since an entry instance must hear of a leaving server while it is cut off from one of them. Tests: FleetTableSpec.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Knowledge.kt
@@ -38,6 +38,15 @@
         val term: Long,
     )
 
+    /** What there is to tell of the backend servers. */
+    public data class FleetNews(
+        val changed: List<ServerReport>,
+        /** Servers that reported and said nothing new, with the number of the report. */
+        val refreshed: Map<String, Long>,
+        /** Revision that this leads to. */
+        val revision: Long,
+    )
+
     private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
     private val changes = MutableStateFlow(0L)
@@ -144,16 +153,22 @@
     /** Backend servers that have not been silent for long. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.alive(clock.elapsed(), silence) }
 
-    /** Reports since [revision] and the revision they lead to. */
+    /** What there is to tell of the servers since [revision]. */
     public fun reportsSince(
         revision: Long,
         directOnly: Boolean,
-    ): Pair<List<ServerReport>, Long> =
+    ): FleetNews =
         synchronized(fleet) {
             fleet.forgetOld(clock.elapsed())
-            fleet.changesSince(revision, directOnly) to fleet.revision
+            FleetNews(fleet.changesSince(revision, directOnly), fleet.refreshedSince(revision), fleet.revision)
         }
 
+    /** Takes in that server [id] was heard of elsewhere and said nothing new. */
+    public fun refresh(
+        id: String,
+        sequence: Long,
+    ): Unit = synchronized(fleet) { fleet.refresh(id, sequence, clock.elapsed()) }
+
     /** True when a server has changed after [revision]; only one that said so here itself counts when [directOnly]. */
     public fun hasServerChangeSince(
         revision: Long,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -67,13 +67,14 @@
     private fun reply(watch: PeerMessage.Watch): PeerMessage.WatchReply {
         val fresh = watch.incarnation != incarnation
         val since = if (fresh) 0 else watch.fleetRevision
-        val (servers, revision) = knowledge.reportsSince(since, directOnly = !fresh && watch.entry == null)
+        val news = knowledge.reportsSince(since, directOnly = !fresh && watch.entry == null)
         val inForce = knowledge.inForce
         val view = replica.view
         return PeerMessage.WatchReply(
             incarnation = incarnation,
-            fleetRevision = revision,
-            servers = servers,
+            fleetRevision = news.revision,
+            servers = news.changed,
+            refreshed = news.refreshed,
             document = inForce.document?.takeIf { it.version > watch.documentVersion },
             namedVersions = inForce.versions.takeIf { inForce.versionsRevision > watch.namedRevision },
             namedRevision = inForce.versionsRevision,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -100,6 +100,7 @@
 
     private fun take(reply: PeerMessage.WatchReply) {
         reply.servers.forEach { knowledge.take(it, direct = false) }
+        reply.refreshed.forEach(knowledge::refresh)
         reply.document?.let(knowledge::take)
         reply.namedVersions?.let { knowledge.take(it, reply.namedRevision) }
         reply.leader?.let { knowledge.takeLeader(it, reply.term) }
--- a/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The backend servers as known from their reports. Soft state: reports may come late, twice, out of order or from a process
@@ -26,6 +27,9 @@
         val revision: Long,
         /** Revision at which it last became other than it was. */
         val changedAt: Long,
+        /** Revision and time at which it was last told in full with the adapters it holds. */
+        val detailedAt: Long,
+        val detailTime: Duration,
         val direct: Boolean,
     )
 
@@ -51,7 +55,17 @@
         }
         revision++
         val same = known != null && known.report.sameAs(report)
-        entries[report.id] = Entry(report, now, revision, if (same) known.changedAt else revision, direct)
+        val detail = !same || (known.report.models != report.models && now - known.detailTime >= DETAIL_INTERVAL)
+        entries[report.id] =
+            Entry(
+                report = report,
+                heardAt = now,
+                revision = revision,
+                changedAt = if (same) known.changedAt else revision,
+                detailedAt = if (detail) revision else known.detailedAt,
+                detailTime = if (detail) now else known.detailTime,
+                direct = direct,
+            )
         return if (same) Change.REFRESHED else Change.CHANGED
     }
 
@@ -67,11 +81,38 @@
         return take(last.copy(phase = ServerPhase.GONE, sequence = Long.MAX_VALUE), direct = true, now)
     }
 
-    /** Reports taken in after [since]; only those that servers sent here themselves when [directOnly]. */
+    /** Takes in that server [id] was heard of elsewhere, and said nothing new with its report [sequence]. */
+    public fun refresh(
+        id: String,
+        sequence: Long,
+        now: Duration,
+    ) {
+        val known = entries[id] ?: return
+        if (sequence <= known.report.sequence) return
+        val report = known.report.copy(sequence = sequence)
+        entries[id] = Entry(report, now, ++revision, known.changedAt, known.detailedAt, known.detailTime, direct = false)
+    }
+
+    /**
+     * Reports that changed after [since]; only those that servers sent here themselves when [directOnly]. Of servers that report
+     * here the adapters are told too, now and then.
+     */
     public fun changesSince(
         since: Long,
         directOnly: Boolean,
-    ): List<ServerReport> = entries.values.filter { it.revision > since && (it.direct || !directOnly) }.map { it.report }
+    ): List<ServerReport> = entries.values.filter { isNews(it, since, directOnly) }.map { it.report }
+
+    private fun isNews(
+        entry: Entry,
+        since: Long,
+        directOnly: Boolean,
+    ): Boolean = (entry.changedAt > since && (entry.direct || !directOnly)) || (entry.direct && entry.detailedAt > since)
+
+    /** Numbers of the reports since [since] that servers sent here and that said nothing new, by server. */
+    public fun refreshedSince(since: Long): Map<String, Long> =
+        entries.values
+            .filter { it.direct && it.revision > since && !isNews(it, since, directOnly = true) }
+            .associate { it.report.id to it.report.sequence }
 
     /** True when a server has changed after [since]; only one that said so here itself counts when [directOnly]. */
     public fun hasChangedSince(
@@ -98,6 +139,8 @@
         entries.values.any { it.report.address == report.address && it.report.id != report.id && it.report.bornMillis > report.bornMillis }
 
     private companion object {
+        /** Adapters matter to others only while no leader can be asked. */
+        val DETAIL_INTERVAL = 4.seconds
         val RETENTION = 10.minutes
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
@@ -26,8 +26,10 @@
     /** Milliseconds until it ends whatever it still runs; null when not known. */
     @CborLabel(10) val remainingMillis: Long? = null,
 ) {
-    /** True when this says the same as [other] but for its number. */
-    public fun sameAs(other: ServerReport): Boolean = copy(sequence = 0) == other.copy(sequence = 0)
+    /** True when this says the same as [other] but for its number and the adapters it can serve, which come and go all the time. */
+    public fun sameAs(other: ServerReport): Boolean = withoutAdapters() == other.withoutAdapters()
+
+    private fun withoutAdapters() = copy(sequence = 0, models = models?.map { it.copy(adapters = emptyMap()) })
 
     /** True when this was said after [other] of the same ID. */
     public fun isAfter(other: ServerReport): Boolean = compareValuesBy(this, other, ServerReport::bornMillis, ServerReport::sequence) > 0
--- a/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
@@ -116,5 +116,45 @@
                 table.changesSince(0, directOnly = false).map { it.id } shouldBe listOf("far", "near")
                 table.changesSince(table.revision, directOnly = false) shouldBe emptyList()
             }
+
+            it("are numbers alone for servers that report here and say nothing new") {
+                val table = FleetTable()
+                table.hear(report(id = "near", sequence = 1))
+                val known = table.revision
+                table.hear(report(id = "near", sequence = 2))
+                table.changesSince(known, directOnly = false) shouldBe emptyList()
+                table.refreshedSince(known) shouldBe mapOf("near" to 2L)
+                table.refreshedSince(0) shouldBe emptyMap()
+            }
+
+            it("name the adapters of a server now and then, not with each report") {
+                fun holding(
+                    sequence: Long,
+                    adapter: String,
+                ) = report(sequence = sequence).copy(models = listOf(HeldModel("m", mapOf(adapter to 1L))))
+                val table = FleetTable()
+                table.take(holding(1, "a"), direct = true, now = Duration.ZERO)
+                val known = table.revision
+                table.take(holding(2, "b"), direct = true, now = 1.seconds) shouldBe FleetTable.Change.REFRESHED
+                table.changesSince(known, directOnly = false) shouldBe emptyList()
+                table.take(holding(3, "c"), direct = true, now = 5.seconds) shouldBe FleetTable.Change.REFRESHED
+                table.changesSince(known, directOnly = false).single().models shouldBe listOf(HeldModel("m", mapOf("c" to 1L)))
+            }
+        }
+
+        describe("a server of which another instance says that it was heard") {
+            it("stays alive, and keeps what is known of it") {
+                val table = FleetTable()
+                table.hear(report(sequence = 4, phase = ServerPhase.DRAINING))
+                table.refresh("s1", 5, 4.seconds)
+                table.alive(8.seconds, 5.seconds).single().phase shouldBe ServerPhase.DRAINING
+                table.take(report(sequence = 5), direct = false, now = 4.seconds) shouldBe FleetTable.Change.NONE
+            }
+
+            it("is not made known by that alone") {
+                val table = FleetTable()
+                table.refresh("s1", 5, Duration.ZERO)
+                table.ids() shouldBe emptyList()
+            }
         }
     })
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -228,6 +228,8 @@
         @CborLabel(9) val term: Long = 0,
         /** How many entry instances are known to be up. */
         @CborLabel(10) val entries: Int = 1,
+        /** Backend servers that reported and said nothing new, with the number of the report. */
+        @CborLabel(11) val refreshed: Map<String, Long> = emptyMap(),
     ) : PeerMessage
 
     /** Asks the leader for a server for one request. */
