--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
@@ -16,14 +16,6 @@
         )
 
     /** A Markdown table of [results]. */
-    public fun table(results: List<DispatchTrialResult>): String {
-        val head = listOf("load") + columns.map { it.first }
-        val rows = results.groupBy { it.load }.map { (load, runs) -> listOf(load) + columns.map { (_, value) -> cell(runs.map(value)) } }
-        return (listOf(head, head.map { "---" }) + rows).joinToString("\n") { it.joinToString(" | ", "| ", " |") }
-    }
-
-    private fun cell(values: List<Double>): String {
-        val sorted = values.sorted()
-        return "%.3f (%.3f-%.3f)".format(sorted[sorted.size / 2], sorted.first(), sorted.last())
-    }
+    public fun table(results: List<DispatchTrialResult>): String =
+        SpreadTable(listOf("load"), columns, digits = 3).of(results.groupBy { listOf(it.load) })
 }
--- a/standin/src/main/kotlin/anvilslip/standin/ExperimentReport.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/ExperimentReport.kt
@@ -14,19 +14,9 @@
         )
 
     /** A Markdown table of [results]. */
-    public fun table(results: List<ExperimentResult>): String {
-        val head = listOf("deployment", "scenario", "policy") + columns.map { it.first }
-        val rows =
-            results.groupBy { Triple(it.deployment, it.scenario, it.policy) }.map { (key, runs) ->
-                listOf(key.first, key.second, key.third) + columns.map { (_, value) -> cell(runs.map(value)) }
-            }
-        return (listOf(head, head.map { "---" }) + rows).joinToString("\n") { it.joinToString(" | ", "| ", " |") }
-    }
-
-    private fun cell(values: List<Double>): String {
-        val sorted = values.sorted()
-        return "%.2f (%.2f-%.2f)".format(sorted[sorted.size / 2], sorted.first(), sorted.last())
-    }
+    public fun table(results: List<ExperimentResult>): String =
+        SpreadTable(listOf("deployment", "scenario", "policy"), columns, digits = 2)
+            .of(results.groupBy { listOf(it.deployment, it.scenario, it.policy) })
 
     private const val PERCENT = 100.0
 }
