Log how much of a workspace's limit was spent by whom

The logs could not tell the hypotheses on the broken quota apart: no line said how many tokens were spent by the leader or locally, nor how much of the limit each believed it had. Now - event=limit_granted, on the leader, at most twice a second and workspace: tokens charged and refunded, level, rate, entry instances ready/reporting/known; - event=limit_spent_locally, on an entry instance without a leader, at most twice a second and workspace: tokens, level, rate, count of entry instances that its share is computed from; - event=entry_count_changed, with the control instance that told the count; - event=finished has charge, charged_ms (decision) and sent_ms (first sending), from the start of the request. No logic is changed.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -33,6 +33,11 @@
     var isCharged = false
     var lastServer: String? = null
 
+    /** Tokens charged to the workspace, and the times of that decision and of the first sending; null if there was none. */
+    var charge = 0L
+    var chargedAt: Duration? = null
+    var firstSentAt: Duration? = null
+
     /** When the response of a server last broke off; null if none did. */
     var lastBreakAt: Duration? = null
     var lastTerm: Long? = null
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -95,7 +95,8 @@
     private suspend fun serve(exchange: Exchange): String {
         while (true) {
             val number = lastNumber.incrementAndGet()
-            val admitted = admit(demand(exchange, number))
+            val demand = demand(exchange, number)
+            val admitted = admit(demand)
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
             if (decision is DispatchDecision.Refuse) {
@@ -103,13 +104,14 @@
                 return answerRefusal(exchange, decision)
             }
             decision as DispatchDecision.Send
-            exchange.isCharged = true
+            recordCharge(exchange, demand)
             exchange.lastServer = decision.server
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
             val result =
                 try {
                     if (decision.holdMillis > 0) delay(decision.holdMillis)
                     exchange.attempts++
+                    exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
                     sender.send(exchange, Attempt(number, decision))
                 } finally {
                     progress.recordStep(number, RequestStep.ENDED)
@@ -118,6 +120,16 @@
         }
     }
 
+    private fun recordCharge(
+        exchange: Exchange,
+        demand: DispatchRequest,
+    ) {
+        exchange.isCharged = true
+        if (demand.charge == 0L) return
+        exchange.charge += demand.charge
+        exchange.chargedAt = clock.elapsed()
+    }
+
     /**
      * Waits after a refusal and returns true if the request should ask for admission again. That is the case while there is no
      * leader, since one is elected within about a second, and when a stream has been started, since a pause is better for the client
@@ -325,6 +337,9 @@
             "sendings" to exchange.attempts,
             "configuration" to exchange.configurationVersion,
             "term" to (exchange.lastTerm ?: "none"),
+            "charge" to exchange.charge,
+            "charged_ms" to exchange.chargedAt?.minus(exchange.startedAt)?.inWholeMilliseconds,
+            "sent_ms" to exchange.firstSentAt?.minus(exchange.startedAt)?.inWholeMilliseconds,
             "took_ms" to duration.inWholeMilliseconds,
             "outcome" to outcome,
         )
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -48,6 +48,7 @@
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
         var fleetRevision = -1L
+        var limitsLoggedAt = electedAt
     }
 
     override val name: String = NAME
@@ -185,6 +186,7 @@
                 term.dispatcher.setLimitShare(watchResponder.reachableShare(), now)
                 term.dispatcher.enginesToQuery(now)
             }
+        logLimits(term, now)
         for (server in due) scope.launch { queryInventory(term, server) }
         while (true) {
             val order = synchronized(lock) { term.dispatcher.nextModelOrder(now) } ?: break
@@ -192,6 +194,26 @@
         }
     }
 
+    private fun logLimits(
+        term: LeaderTerm,
+        now: Duration,
+    ) {
+        if (now - term.limitsLoggedAt < LIMIT_LOG_INTERVAL) return
+        term.limitsLoggedAt = now
+        for (usage in synchronized(lock) { term.dispatcher.takeLimitUsage() }) {
+            log.info(
+                "limit_granted",
+                "workspace" to usage.workspace,
+                "term" to term.number,
+                "charged" to usage.charged,
+                "refunded" to usage.refunded,
+                "level" to usage.level.toLong(),
+                "rate" to usage.rate.toLong(),
+                "entries" to watchResponder.entryCounts(),
+            )
+        }
+    }
+
     private fun takeOverOrders(
         term: LeaderTerm,
         now: Duration,
@@ -293,6 +315,7 @@
         /** Name in the service registry. */
         public const val NAME: String = "dispatch"
         private val TICK_INTERVAL = 100.milliseconds
+        private val LIMIT_LOG_INTERVAL = 500.milliseconds
         private val ORDER_POLL = 5.milliseconds
         private const val MAX_LOADS = 3
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.EventLogger
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
@@ -24,6 +25,9 @@
         val bucket: WorkspaceBucket,
     )
 
+    private val log = EventLogger("admission")
+    private val spentSinceLog = HashMap<String, Long>()
+    private var loggedAt = Duration.ZERO
     private val shares = HashMap<String, WorkspaceShare>()
     private val recentHolders =
         object : LinkedHashMap<AdapterName, String>(INITIAL_SIZE, LOAD_FACTOR, true) {
@@ -57,10 +61,36 @@
         val bucket = request.workspace?.takeIf { request.charge > 0 }?.let { bucket(it, now) }
         val wait = bucket?.waitTime(request.charge.toDouble(), now) ?: Duration.ZERO
         if (wait.isPositive()) return DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
-        bucket?.spend(request.charge.toDouble(), now)
+        if (bucket != null) spend(bucket, request, now)
         return DispatchDecision.Send(best.id, best.address, version = version(request))
     }
 
+    private fun spend(
+        bucket: WorkspaceBucket,
+        request: DispatchRequest,
+        now: Duration,
+    ) {
+        bucket.spend(request.charge.toDouble(), now)
+        spentSinceLog.merge(request.workspace!!, request.charge, Long::plus)
+        if (now - loggedAt >= LOG_INTERVAL) logSpent(now)
+    }
+
+    private fun logSpent(now: Duration) {
+        for ((workspace, tokens) in spentSinceLog) {
+            log.info(
+                "limit_spent_locally",
+                "workspace" to workspace,
+                "charged" to tokens,
+                "since_ms" to (now - loggedAt).inWholeMilliseconds,
+                "level" to shares[workspace]?.bucket?.level?.toLong(),
+                "rate" to shares[workspace]?.rate?.toLong(),
+                "entries" to clusterView.entryCount,
+            )
+        }
+        spentSinceLog.clear()
+        loggedAt = now
+    }
+
     private fun version(request: DispatchRequest): Long? {
         val name = AdapterName(request.model ?: return null, request.adapter ?: return null)
         return clusterView.active.versions[name]
@@ -96,6 +126,7 @@
 
         /** Running requests that a server in another zone counts as having in addition. */
         const val OTHER_ZONE_PENALTY = 0.5
+        val LOG_INTERVAL = 500.milliseconds
         const val INITIAL_SIZE = 64
         const val LOAD_FACTOR = 0.75f
         const val MAX_RECENT_HOLDERS = 512
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -45,6 +45,12 @@
         return inUse.count { now - it.receivedAt < ENTRY_TIMEOUT }.toDouble() / inUse.size
     }
 
+    /** Returns the numbers of entry instances that are ready, have reported recently and are known at all, as "1/2/3", for the log. */
+    public fun entryCounts(): String {
+        val now = clock.elapsed()
+        return "${readyEntries().size}/${entries.values.count { now - it.receivedAt < ENTRY_TIMEOUT }}/${entries.size}"
+    }
+
     /** Answers [watch] from instance [from]: immediately if there is an update for it, otherwise after a change or the requested wait. */
     public suspend fun respond(
         from: String,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -80,7 +80,7 @@
             if (reply != null) {
                 incarnation = reply.incarnation
                 fleetRevision = reply.fleetRevision
-                applyReply(reply)
+                applyReply(control, reply)
             }
             val pause = if (reply == null) RETRY_DELAY else MIN_INTERVAL - (clock.elapsed() - sentAt)
             if (pause.isPositive()) delay(pause)
@@ -103,14 +103,27 @@
         )
     }
 
-    private fun applyReply(reply: PeerMessage.WatchReply) {
+    private fun applyReply(
+        control: String,
+        reply: PeerMessage.WatchReply,
+    ) {
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.addControlHosts(reply.controlHosts)
-        if (entry() != null) clusterView.entryCount = maxOf(1, reply.entryCount)
+        if (entry() != null) applyEntryCount(control, maxOf(1, reply.entryCount))
+    }
+
+    private fun applyEntryCount(
+        control: String,
+        count: Int,
+    ) {
+        val previous = clusterView.entryCount
+        if (count == previous) return
+        clusterView.entryCount = count
+        log.info("entry_count_changed", "control" to control, "count" to count, "previous" to previous)
     }
 
     public companion object {
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -47,6 +47,9 @@
         now: Duration,
     ): Unit = limits.setShare(share, now)
 
+    /** Returns the usage of the workspace limits since the last call, for the log. */
+    public fun takeLimitUsage(): List<LimitUsage> = limits.takeUsage()
+
     /** Allows this leader to send orders. To be called once no order of the previous leader can be in flight. */
     public fun allowOrders(): Unit = planner.allowOrders()
 
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -6,13 +6,17 @@
 
 /** Token bucket of one workspace, refilled at [rate] tokens per second up to [burst]. Not thread-safe. */
 public class WorkspaceBucket(
-    private var rate: Double,
+    rate: Double,
     private var burst: Double,
     level: Double,
     now: Duration,
 ) {
     private var refilledAt = now
 
+    /** Refill rate in tokens per second. */
+    public var rate: Double = rate
+        private set
+
     /** Tokens that may be spent now; negative while there is a debt. */
     public var level: Double = level
         private set
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
@@ -7,7 +7,13 @@
     /** True if another leader preceded this one. Buckets then start empty, since their bursts may have been spent already. */
     private val hasPredecessor: Boolean,
 ) {
+    private class Unreported(
+        var charged: Long = 0,
+        var refunded: Long = 0,
+    )
+
     private val buckets = HashMap<String, WorkspaceBucket>()
+    private val unreported = HashMap<String, Unreported>()
     private var workspaces: List<ServingWorkspace> = emptyList()
     private var share = 1.0
 
@@ -47,14 +53,28 @@
         tokens: Long,
         now: Duration,
     ) {
-        bucket(workspace, tokens)?.spend(tokens.toDouble(), now)
+        val bucket = bucket(workspace, tokens) ?: return
+        bucket.spend(tokens.toDouble(), now)
+        unreported.getOrPut(workspace!!, ::Unreported).charged += tokens
     }
 
     fun refund(
         workspace: String?,
         tokens: Long,
     ) {
-        bucket(workspace, tokens)?.refund(tokens.toDouble())
+        val bucket = bucket(workspace, tokens) ?: return
+        bucket.refund(tokens.toDouble())
+        unreported.getOrPut(workspace!!, ::Unreported).refunded += tokens
+    }
+
+    /** Returns the usage of the workspaces charged or refunded since the last call. */
+    fun takeUsage(): List<LimitUsage> {
+        val usage =
+            unreported.mapNotNull { (name, tokens) ->
+                buckets[name]?.let { LimitUsage(name, it.rate, it.level, tokens.charged, tokens.refunded) }
+            }
+        unreported.clear()
+        return usage
     }
 
     private fun bucket(
