Separate the counting of entry instances and the calls of the admission client

EntryTracker (policy) holds what a control instance knows of entry instances, without clock or network; AdmissionClient calls through PeerCaller.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -6,13 +6,12 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.wire.PeerError
 import anvilslip.wire.PeerMessage
-import anvilslip.wire.PeerNetwork
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Asks the leader to admit requests, and decides locally with [LocalDispatch] while no leader answers. */
 public class AdmissionClient(
-    private val network: PeerNetwork,
+    private val peers: PeerCaller,
     private val clusterView: ClusterView,
     private val local: LocalDispatch,
     private val clock: Clock,
@@ -43,7 +42,7 @@
         var leader = clusterView.leader.host ?: return null
         if (clock.elapsed() < leaderAvoidedUntil) return null
         for (attempt in 1..MAX_ATTEMPTS) {
-            val result = network.call(leader, PeerMessage.Admit(request), ANSWER_TIMEOUT)
+            val result = peers.call(leader, PeerMessage.Admit(request), ANSWER_TIMEOUT)
             val reply = result.getOrNull()
             if (reply is PeerMessage.AdmitReply) return Result(reply.decision, reply.term)
             if (result.leftOrNull() is PeerError.NoAnswer) leaderAvoidedUntil = clock.elapsed() + LEADER_AVOIDANCE
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -57,9 +57,10 @@
     @Volatile
     private var knownControlHosts = seeds
 
-    /** Known number of entry instances that are up; at least 1. */
+    /** Number of entry instances among which the limits of workspaces are divided; at least 1. */
     @Volatile
     public var entryCount: Int = 1
+        private set
 
     /** The configuration that this instance uses. */
     public val active: ActiveConfiguration get() = activeRef.get()
@@ -122,6 +123,17 @@
         if (term > previous.term) log.info("leader_known", "leader" to host, "term" to term, "previous" to previous.host)
     }
 
+    /** Records that [control] reported [count] entry instances among which limits are divided. */
+    public fun observeEntryCount(
+        control: String,
+        count: Int,
+    ) {
+        val previous = entryCount
+        entryCount = maxOf(1, count)
+        if (entryCount == previous) return
+        log.info("entry_count_changed", "control" to control, "count" to entryCount, "previous" to previous)
+    }
+
     /** Adds control instances that were reported by others or by the settings. */
     public fun addControlHosts(hosts: Set<String>) {
         val added = hosts - knownControlHosts
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -165,7 +165,7 @@
     private fun installEntry(address: Address) {
         val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
         val local = LocalDispatch(clusterView, progress::countRunning)
-        val admissionClient = AdmissionClient(network, clusterView, local, clock)
+        val admissionClient = AdmissionClient(network::call, clusterView, local, clock)
         val sender = RequestSender(client, dialects.requests, progress, clock)
         val clientHandler =
             Forwarder(
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.policy.EntryInstance
+import anvilslip.policy.EntryTracker
 import anvilslip.state.Replica
 import anvilslip.wire.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
@@ -17,39 +18,17 @@
     private val replica: Replica,
     private val clock: Clock,
 ) {
-    private class EntryReport(
-        val entry: EntryInstance,
-        val receivedAt: Duration,
-    )
-
-    private val entries = ConcurrentHashMap<String, EntryReport>()
+    private val entries = EntryTracker()
     private val controlsSeenAt = ConcurrentHashMap<String, Duration>()
 
     /** Returns the entry instances that have reported recently and are ready. */
-    public fun readyEntries(): List<EntryInstance> {
-        val now = clock.elapsed()
-        return entries.values.filter { it.entry.ready && now - it.receivedAt < ENTRY_TIMEOUT }.map { it.entry }
-    }
+    public fun readyEntries(): List<EntryInstance> = withEntries { ready(it) }
 
-    /**
-     * Share of the entry instances in use that have reported recently. A ready instance counts as in use for [ENTRY_RETENTION]
-     * after its last report, any other for [ENTRY_TIMEOUT].
-     */
-    public fun reachableShare(): Double {
-        val now = clock.elapsed()
-        val inUse =
-            entries.values.filter {
-                now - it.receivedAt < ENTRY_RETENTION && (it.entry.ready || now - it.receivedAt < ENTRY_TIMEOUT)
-            }
-        if (inUse.isEmpty()) return 1.0
-        return inUse.count { now - it.receivedAt < ENTRY_TIMEOUT }.toDouble() / inUse.size
-    }
+    /** Share of the entry instances in use that have reported recently. */
+    public fun reachableShare(): Double = withEntries { reachableShare(it) }
 
     /** Returns the numbers of entry instances that are ready, have reported recently and are known at all, as "1/2/3", for the log. */
-    public fun entryCounts(): String {
-        val now = clock.elapsed()
-        return "${readyEntries().size}/${entries.values.count { now - it.receivedAt < ENTRY_TIMEOUT }}/${entries.size}"
-    }
+    public fun entryCounts(): String = withEntries { "${ready(it).size}/${recentCount(it)}/$size" }
 
     /** Answers [watch] from instance [from]: immediately if there is an update for it, otherwise after a change or the requested wait. */
     public suspend fun respond(
@@ -64,9 +43,11 @@
     }
 
     private fun recordEntry(entry: EntryInstance) {
-        entries[entry.host] = EntryReport(entry, clock.elapsed())
+        withEntries { record(entry, it) }
     }
 
+    private fun <T> withEntries(block: EntryTracker.(now: Duration) -> T): T = synchronized(entries) { entries.block(clock.elapsed()) }
+
     /** True if this instance knows something that the sender of [watch] lacks, or has restarted since the sender's last request. */
     private fun hasUpdate(watch: PeerMessage.Watch): Boolean {
         val active = clusterView.active
@@ -93,7 +74,7 @@
             controlHosts = controlHosts(),
             leader = view.leader?.instance,
             term = view.term,
-            entryCount = readyEntries().size,
+            entryCount = withEntries { shareCount(it) },
         )
     }
 
@@ -104,9 +85,6 @@
     }
 
     private companion object {
-        /** Entry instances send a watch request at least once a second. */
-        val ENTRY_TIMEOUT = 2200.milliseconds
-        val ENTRY_RETENTION = 60.seconds
         val CONTROL_RETENTION = 10.seconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -113,17 +113,7 @@
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.addControlHosts(reply.controlHosts)
-        if (entry() != null) applyEntryCount(control, maxOf(1, reply.entryCount))
-    }
-
-    private fun applyEntryCount(
-        control: String,
-        count: Int,
-    ) {
-        val previous = clusterView.entryCount
-        if (count == previous) return
-        clusterView.entryCount = count
-        log.info("entry_count_changed", "control" to control, "count" to count, "previous" to previous)
+        if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
     }
 
     public companion object {
