Divide workspace limits by all entry instances that may send, also when told by a control instance that has just started

Cause: an entry instance without a leader spends 1/n of each limit, n being the latest answer of any control instance. One that has just started has heard of no entry instance and answers 0, taken as 1: in the logs n falls from 9 to 1..8 within 0.7 s after the control instances start at 4.7 s, and 131663 tokens are spent locally in half a second, 3.7 times the rate. Besides, n counted only instances that are ready: 4 of 9 while the others drain and still send. And a leader that has just started and never heard of those cut off from it keeps nothing back for them. Change: a control instance counts all instances in use (also those that drain, and for 60 s those that fell silent), reports nothing in its first 2.2 s, an entry instance uses the largest report of the last 60 s and refuses limited requests locally while it has none, and it passes the count on, so that a new leader keeps back the share of those that it has never heard of. Ruled out: late sending of what was admitted early; sums by time of decision exceed the limit as much as sums by time of sending.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.EntryCount
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
@@ -49,6 +50,7 @@
 
     private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
+    private val entries = EntryCount()
     private val changes = MutableStateFlow(0L)
     private val activeRef = AtomicReference(ActiveConfiguration())
     private val leaderRef = AtomicReference(Leader(null, 0))
@@ -57,10 +59,8 @@
     @Volatile
     private var knownControlHosts = seeds
 
-    /** Number of entry instances among which the limits of workspaces are divided; at least 1. */
-    @Volatile
-    public var entryCount: Int = 1
-        private set
+    /** Number of entry instances among which the limits of workspaces are divided; null until a control instance has reported it. */
+    public val entryCount: Int? get() = synchronized(entries) { entries.current(clock.elapsed()) }
 
     /** The configuration that this instance uses. */
     public val active: ActiveConfiguration get() = activeRef.get()
@@ -123,15 +123,18 @@
         if (term > previous.term) log.info("leader_known", "leader" to host, "term" to term, "previous" to previous.host)
     }
 
-    /** Records that [control] reported [count] entry instances among which limits are divided. */
+    /** Records that [control] has heard of [count] entry instances in use. */
     public fun observeEntryCount(
         control: String,
         count: Int,
     ) {
-        val previous = entryCount
-        entryCount = maxOf(1, count)
-        if (entryCount == previous) return
-        log.info("entry_count_changed", "control" to control, "count" to entryCount, "previous" to previous)
+        val (previous, current) =
+            synchronized(entries) {
+                val before = entries.current(clock.elapsed())
+                entries.record(control, count, clock.elapsed())
+                before to entries.current(clock.elapsed())
+            }
+        if (current != previous) log.info("entry_count_changed", "control" to control, "count" to current, "previous" to previous)
     }
 
     /** Adds control instances that were reported by others or by the settings. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -93,7 +93,9 @@
     }
 
     private fun self(): EntryInstance? =
-        settings.clients?.let { EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady) }
+        settings.clients?.let {
+            EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady, clusterView.entryCount ?: 0)
+        }
 
     private fun answer(message: PeerMessage): PeerMessage =
         if (message is PeerMessage.Ping) PeerMessage.Ack else PeerMessage.Failed("not understood here")
@@ -189,7 +191,7 @@
         RetryBudget(
             settings.retryWindow,
             settings.retryShare * BUDGET_SAFETY,
-            settings.retryReserve * BUDGET_SAFETY / clusterView.entryCount,
+            settings.retryReserve * BUDGET_SAFETY / (clusterView.entryCount ?: 1),
         )
 
     private fun clientOptions(): HttpServerOptions {
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -6,6 +6,7 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.ServerPhase
 import anvilslip.policy.ServerReport
+import anvilslip.policy.ServingWorkspace
 import anvilslip.policy.WorkspaceBucket
 import anvilslip.state.AdapterName
 import kotlin.time.Duration
@@ -58,9 +59,12 @@
         val best =
             eligible.minByOrNull { countRunning(it.id) + if (it.zone == request.zone) 0.0 else OTHER_ZONE_PENALTY }
                 ?: return DispatchDecision.Refuse(DispatchRefusal.LOADING, RETRY_AFTER.inWholeMilliseconds)
-        val bucket = request.workspace?.takeIf { request.charge > 0 }?.let { bucket(it, now) }
+        val limits = request.workspace?.takeIf { request.charge > 0 }?.let(::limitedWorkspace)
+        val entries = clusterView.entryCount
+        if (limits != null && entries == null) return refuseOverLimit(RETRY_AFTER)
+        val bucket = if (limits != null && entries != null) bucket(limits, entries, now) else null
         val wait = bucket?.waitTime(request.charge.toDouble(), now) ?: Duration.ZERO
-        if (wait.isPositive()) return DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
+        if (wait.isPositive()) return refuseOverLimit(wait)
         if (bucket != null) spend(bucket, request, now)
         return DispatchDecision.Send(best.id, best.address, version = version(request))
     }
@@ -106,19 +110,23 @@
         return adapter in held.adapters || recentHolders[AdapterName(model, adapter)] == server.id
     }
 
+    private fun refuseOverLimit(wait: Duration) =
+        DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
+
+    private fun limitedWorkspace(name: String): ServingWorkspace? =
+        clusterView.active.configuration
+            ?.workspaces
+            ?.firstOrNull { it.name == name && it.ratePerSecond > 0 }
+
     private fun bucket(
-        workspace: String,
+        limits: ServingWorkspace,
+        entries: Int,
         now: Duration,
-    ): WorkspaceBucket? {
-        val limits =
-            clusterView.active.configuration
-                ?.workspaces
-                ?.firstOrNull { it.name == workspace } ?: return null
-        if (limits.ratePerSecond <= 0) return null
-        val rate = limits.ratePerSecond / clusterView.entryCount
-        val burst = limits.burst / clusterView.entryCount
-        val share = shares[workspace]?.takeIf { it.rate == rate && it.burst == burst }
-        return (share ?: WorkspaceShare(rate, burst, WorkspaceBucket(rate, burst, burst, now)).also { shares[workspace] = it }).bucket
+    ): WorkspaceBucket {
+        val rate = limits.ratePerSecond / entries
+        val burst = limits.burst / entries
+        val share = shares[limits.name]?.takeIf { it.rate == rate && it.burst == burst }
+        return (share ?: WorkspaceShare(rate, burst, WorkspaceBucket(rate, burst, burst, now)).also { shares[limits.name] = it }).bucket
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -18,7 +18,7 @@
     private val replica: Replica,
     private val clock: Clock,
 ) {
-    private val entries = EntryTracker()
+    private val entries = EntryTracker(clock.elapsed())
     private val controlsSeenAt = ConcurrentHashMap<String, Duration>()
 
     /** Returns the entry instances that have reported recently and are ready. */
@@ -27,8 +27,8 @@
     /** Share of the entry instances in use that have reported recently. */
     public fun reachableShare(): Double = withEntries { reachableShare(it) }
 
-    /** Returns the numbers of entry instances that are ready, have reported recently and are known at all, as "1/2/3", for the log. */
-    public fun entryCounts(): String = withEntries { "${ready(it).size}/${recentCount(it)}/$size" }
+    /** Returns the numbers of entry instances that are ready, have reported recently and are in use, as "1/2/3", for the log. */
+    public fun entryCounts(): String = withEntries { "${ready(it).size}/${recentCount(it)}/${inUseCount(it)}" }
 
     /** Answers [watch] from instance [from]: immediately if there is an update for it, otherwise after a change or the requested wait. */
     public suspend fun respond(
@@ -74,7 +74,7 @@
             controlHosts = controlHosts(),
             leader = view.leader?.instance,
             term = view.term,
-            entryCount = withEntries { shareCount(it) },
+            entryCount = withEntries { inUseCount(it) },
         )
     }
 
--- a/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
@@ -51,7 +51,7 @@
     inner class Control(
         val host: String,
     ) {
-        var tracker = EntryTracker()
+        var tracker = EntryTracker(clock.elapsed())
         var dispatcher: Dispatcher? = null
 
         /** How long this instance takes to answer as the leader. */
@@ -81,7 +81,7 @@
             view.recordReport(server, direct = true)
         }
 
-        fun describe() = EntryInstance(host, "$host:80", "z1", "r", isReady)
+        fun describe() = EntryInstance(host, "$host:80", "z1", "r", isReady, view.entryCount ?: 0)
 
         suspend fun serve(tokens: Long) {
             val request = DispatchRequest(host, ++number, SERVICE, workspace.name, tokens, "z1", TARGET_MILLIS, DEADLINE_MILLIS)
@@ -130,7 +130,7 @@
     /** Restarts [control], which then knows no entry instance. */
     fun restart(control: Control) {
         if (leader === control) loseLeader()
-        control.tracker = EntryTracker()
+        control.tracker = EntryTracker(clock.elapsed())
         control.answerTime = 2.milliseconds
     }
 
@@ -171,7 +171,7 @@
         while (true) {
             if (!entry.isCut) {
                 control.tracker.record(entry.describe(), clock.elapsed())
-                entry.view.observeEntryCount(control.host, control.tracker.shareCount(clock.elapsed()))
+                entry.view.observeEntryCount(control.host, control.tracker.inUseCount(clock.elapsed()))
                 leader?.let { entry.view.observeLeader(it.host, term) }
             }
             entry.view.recordReport(server.copy(sequence = clock.elapsed().inWholeMilliseconds), direct = true)
--- a/policy/src/main/kotlin/anvilslip/policy/EntryInstance.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryInstance.kt
@@ -17,4 +17,6 @@
     @CborLabel(4) val region: String,
     /** True if clients may be directed to this instance. */
     @CborLabel(5) val ready: Boolean,
+    /** Largest number of entry instances in use that a control instance has recently reported to this one; 0 if none has. */
+    @CborLabel(6) val knownEntries: Int = 0,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
@@ -5,7 +5,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Entry instances as a control instance knows them from their reports. Not thread-safe. */
-public class EntryTracker {
+public class EntryTracker(
+    private val startedAt: Duration,
+) {
     private class Report(
         val entry: EntryInstance,
         val receivedAt: Duration,
@@ -13,9 +15,6 @@
 
     private val reports = HashMap<String, Report>()
 
-    /** Number of entry instances that are known at all. */
-    public val size: Int get() = reports.size
-
     /** Records a report of [entry]. */
     public fun record(
         entry: EntryInstance,
@@ -30,19 +29,22 @@
     /** Returns the number of entry instances that have reported recently. */
     public fun recentCount(now: Duration): Int = reports.values.count { isRecent(it, now) }
 
-    /** Returns the number of entry instances among which the limits of workspaces are divided. */
-    public fun shareCount(now: Duration): Int = ready(now).size
-
     /**
-     * Share of the entry instances in use that have reported recently. A ready instance counts as in use for [RETENTION]
-     * after its last report, any other for [REPORT_TIMEOUT].
+     * Returns the number of entry instances in use as reported to this instance, or 0 while it has not run long enough to have
+     * heard of all. A ready instance counts as in use for [RETENTION] after its last report, any other for [REPORT_TIMEOUT].
      */
+    public fun inUseCount(now: Duration): Int = if (now - startedAt < REPORT_TIMEOUT) 0 else countInUse(now)
+
+    /** Share of the entry instances in use that have reported recently. Counts those that only other control instances have heard of. */
     public fun reachableShare(now: Duration): Double {
-        val inUse = reports.values.filter { isRecent(it, now) || (it.entry.ready && now - it.receivedAt < RETENTION) }
-        if (inUse.isEmpty()) return 1.0
-        return inUse.count { isRecent(it, now) }.toDouble() / inUse.size
+        val recent = reports.values.filter { isRecent(it, now) }
+        val known = maxOf(countInUse(now), recent.maxOfOrNull { it.entry.knownEntries } ?: 0)
+        return if (known == 0) 1.0 else recent.size.toDouble() / known
     }
 
+    private fun countInUse(now: Duration): Int =
+        reports.values.count { isRecent(it, now) || (it.entry.ready && now - it.receivedAt < RETENTION) }
+
     private fun isRecent(
         report: Report,
         now: Duration,
