Give the local share of a workspace limit a memory

What callers saw: after each loss of the leader one workspace got up to one more burst, on top of what the leader had granted. Cause: the local bucket began full at the first loss of the leader, refilled while the leader decided, and was replaced by a full one whenever the count of entry instances or the limit changed. In the logs of quota-h4 all nine begin at level 7907 of 7907 right after the leader had spent the whole burst. Change: LocalLimits (policy) charges every request that the instance sends, also those a leader granted, begins empty, and keeps its level when count or limit change. The debt from grants is limited to one share of the burst or one request.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -44,7 +44,7 @@
         for (attempt in 1..MAX_ATTEMPTS) {
             val result = peers.call(leader, PeerMessage.Admit(request), ANSWER_TIMEOUT)
             val reply = result.getOrNull()
-            if (reply is PeerMessage.AdmitReply) return Result(reply.decision, reply.term)
+            if (reply is PeerMessage.AdmitReply) return recordReply(request, reply)
             if (result.leftOrNull() is PeerError.NoAnswer) leaderAvoidedUntil = clock.elapsed() + LEADER_AVOIDANCE
             val next = (reply as? PeerMessage.NotLeader)?.leader
             if (next == null || next == leader) return null
@@ -53,6 +53,14 @@
         return null
     }
 
+    private fun recordReply(
+        request: DispatchRequest,
+        reply: PeerMessage.AdmitReply,
+    ): Result {
+        if (reply.decision is DispatchDecision.Send) local.recordGranted(request, clock.elapsed())
+        return Result(reply.decision, reply.term)
+    }
+
     private fun logLeaderAvailability(answered: Boolean) {
         if (answered == !isLeaderLost) return
         isLeaderLost = !answered
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -4,10 +4,10 @@
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
+import anvilslip.policy.LocalLimits
 import anvilslip.policy.ServerPhase
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingWorkspace
-import anvilslip.policy.WorkspaceBucket
 import anvilslip.state.AdapterName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -20,16 +20,9 @@
     private val clusterView: ClusterView,
     private val countRunning: (server: String) -> Int,
 ) {
-    private class WorkspaceShare(
-        val rate: Double,
-        val burst: Double,
-        val bucket: WorkspaceBucket,
-    )
-
     private val log = EventLogger("admission")
-    private val spentSinceLog = HashMap<String, Long>()
+    private val limits = LocalLimits()
     private var loggedAt = Duration.ZERO
-    private val shares = HashMap<String, WorkspaceShare>()
     private val recentHolders =
         object : LinkedHashMap<AdapterName, String>(INITIAL_SIZE, LOAD_FACTOR, true) {
             override fun removeEldestEntry(eldest: MutableMap.MutableEntry<AdapterName, String>): Boolean = size > MAX_RECENT_HOLDERS
@@ -59,39 +52,61 @@
         val best =
             eligible.minByOrNull { countRunning(it.id) + if (it.zone == request.zone) 0.0 else OTHER_ZONE_PENALTY }
                 ?: return DispatchDecision.Refuse(DispatchRefusal.LOADING, RETRY_AFTER.inWholeMilliseconds)
-        val limits = request.workspace?.takeIf { request.charge > 0 }?.let(::limitedWorkspace)
-        val entries = clusterView.entryCount
-        if (limits != null && entries == null) return refuseOverLimit(RETRY_AFTER)
-        val bucket = if (limits != null && entries != null) bucket(limits, entries, now) else null
-        val wait = bucket?.waitTime(request.charge.toDouble(), now) ?: Duration.ZERO
-        if (wait.isPositive()) return refuseOverLimit(wait)
-        if (bucket != null) spend(bucket, request, now)
+        refuseOverLimit(request, now)?.let { return it }
         return DispatchDecision.Send(best.id, best.address, version = version(request))
     }
 
-    private fun spend(
-        bucket: WorkspaceBucket,
+    /** Records that a leader granted the tokens of [request]. */
+    @Synchronized
+    public fun recordGranted(
         request: DispatchRequest,
         now: Duration,
     ) {
-        bucket.spend(request.charge.toDouble(), now)
-        spentSinceLog.merge(request.workspace!!, request.charge, Long::plus)
-        if (now - loggedAt >= LOG_INTERVAL) logSpent(now)
+        val workspace = limitedWorkspace(request) ?: return
+        limits.recordGranted(workspace, request.charge, clusterView.entryCount ?: return, now)
+    }
+
+    /** Charges [request] to the limit of its workspace and returns null, or returns a refusal if this instance's share is used up. */
+    private fun refuseOverLimit(
+        request: DispatchRequest,
+        now: Duration,
+    ): DispatchDecision.Refuse? {
+        val workspace = limitedWorkspace(request) ?: return null
+        val entries = clusterView.entryCount ?: return refuseOverLimit(RETRY_AFTER)
+        val wait = limits.waitTime(workspace, request.charge, entries, now)
+        if (wait.isPositive()) return refuseOverLimit(wait)
+        limits.spend(workspace, request.charge, entries, now)
+        if (now - loggedAt >= LOG_INTERVAL) logLimits(entries, now)
+        return null
+    }
+
+    private fun refuseOverLimit(wait: Duration) =
+        DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
+
+    private fun limitedWorkspace(request: DispatchRequest): ServingWorkspace? {
+        if (request.workspace == null || request.charge <= 0) return null
+        val workspaces =
+            clusterView.active.configuration
+                ?.workspaces
+                .orEmpty()
+        return workspaces.firstOrNull { it.name == request.workspace && it.ratePerSecond > 0 }
     }
 
-    private fun logSpent(now: Duration) {
-        for ((workspace, tokens) in spentSinceLog) {
+    private fun logLimits(
+        entries: Int,
+        now: Duration,
+    ) {
+        for (usage in limits.takeUsage()) {
             log.info(
                 "limit_spent_locally",
-                "workspace" to workspace,
-                "charged" to tokens,
+                "workspace" to usage.workspace,
+                "charged" to usage.charged,
                 "since_ms" to (now - loggedAt).inWholeMilliseconds,
-                "level" to shares[workspace]?.bucket?.level?.toLong(),
-                "rate" to shares[workspace]?.rate?.toLong(),
-                "entries" to clusterView.entryCount,
+                "level" to usage.level.toLong(),
+                "rate" to usage.rate.toLong(),
+                "entries" to entries,
             )
         }
-        spentSinceLog.clear()
         loggedAt = now
     }
 
@@ -110,25 +125,6 @@
         return adapter in held.adapters || recentHolders[AdapterName(model, adapter)] == server.id
     }
 
-    private fun refuseOverLimit(wait: Duration) =
-        DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
-
-    private fun limitedWorkspace(name: String): ServingWorkspace? =
-        clusterView.active.configuration
-            ?.workspaces
-            ?.firstOrNull { it.name == name && it.ratePerSecond > 0 }
-
-    private fun bucket(
-        limits: ServingWorkspace,
-        entries: Int,
-        now: Duration,
-    ): WorkspaceBucket {
-        val rate = limits.ratePerSecond / entries
-        val burst = limits.burst / entries
-        val share = shares[limits.name]?.takeIf { it.rate == rate && it.burst == burst }
-        return (share ?: WorkspaceShare(rate, burst, WorkspaceBucket(rate, burst, burst, now)).also { shares[limits.name] = it }).bucket
-    }
-
     private companion object {
         val RETRY_AFTER = 500.milliseconds
 
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -52,6 +52,11 @@
         level -= tokens
     }
 
+    /** Cancels the debt beyond [tokens]. */
+    public fun limitDebt(tokens: Double) {
+        level = maxOf(level, -tokens)
+    }
+
     /** Refunds [tokens] of a request that did not run. */
     public fun refund(tokens: Double) {
         level = minOf(burst, level + tokens)
