Keep back the share of an entry instance that is cut off after 1.3 s instead of 2.2 s

What callers saw: a workspace served by instances with and without a leader at once got up to twice its rate. Change: the share counts an instance as unreachable after 1.3 s; reports come at least every 0.9 s. Resolve answers keep 2.2 s. Ruled out: spending that the leader is never told of. Requests without an answer in time are charged by the leader as well. The random run was made harder first: cuts of up to all instances, reports every 0.9 s as in the product.

--- a/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
@@ -214,7 +214,7 @@
         const val MIN_TOKENS = 200L
         const val MAX_TOKENS = 4600L
         val HEARTBEAT = 1.seconds
-        val WATCH_INTERVAL = 300.milliseconds
+        val WATCH_INTERVAL = 900.milliseconds
         val TICK = 100.milliseconds
         val WORK = 20.milliseconds
 
--- a/gateway/src/test/kotlin/anvilslip/gateway/WorkspaceOverLimitSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WorkspaceOverLimitSpec.kt
@@ -144,18 +144,23 @@
 
             it("stays within its limit under random losses of leaders, links and control instances") {
                 val exceeded =
-                    (1..SEEDS).mapNotNull { seed ->
+                    (1..SEEDS).plus(FAILED_SEEDS).mapNotNull { seed ->
                         val random = Random(seed)
                         val count = listOf(3, 9, 30, 78).random(random)
                         val cluster = simulate(count, seed) { cluster -> runRandomFaults(cluster, random, usual, flood) }
                         cluster.maxTokens(window).takeIf { it > allowed }?.let { "seed $seed, $count entry instances: $it of $allowed" }
                     }
-                check(exceeded.isEmpty()) { exceeded.joinToString("\n", prefix = "${exceeded.size} of $SEEDS runs over the limit:\n") }
+                check(exceeded.isEmpty()) {
+                    exceeded.joinToString("\n", prefix = "${exceeded.size} of ${SEEDS + FAILED_SEEDS.size} runs over the limit:\n")
+                }
             }
         }
     }) {
     private companion object {
-        const val SEEDS = 60
+        const val SEEDS = 100
+
+        /** A leader granted whole limits for over a second after most entry instances had been cut off and spent their shares. */
+        val FAILED_SEEDS = listOf(205, 288, 349, 426, 547)
         val RUN = 30.seconds
 
         suspend fun TestScope.runRandomFaults(
@@ -187,7 +192,7 @@
                 }
 
                 1 -> {
-                    val cut = cluster.entries.shuffled(random).take(1 + random.nextInt(maxOf(1, cluster.entries.size / 3)))
+                    val cut = cluster.entries.shuffled(random).take(1 + random.nextInt(cluster.entries.size))
                     cut.forEach { it.isCut = true }
                     launch { delay(random.nextInt(300, 6000).milliseconds).also { cut.forEach { it.isCut = false } } }
                 }
--- a/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
@@ -37,7 +37,7 @@
 
     /** Share of the entry instances in use that have reported recently. Counts those that only other control instances have heard of. */
     public fun reachableShare(now: Duration): Double {
-        val recent = reports.values.filter { isRecent(it, now) }
+        val recent = reports.values.filter { now - it.receivedAt < LIMIT_SHARE_TIMEOUT }
         val known = maxOf(countInUse(now), recent.maxOfOrNull { it.entry.knownEntries } ?: 0)
         return if (known == 0) 1.0 else recent.size.toDouble() / known
     }
@@ -54,5 +54,8 @@
         /** Entry instances report at least once a second. */
         val REPORT_TIMEOUT = 2200.milliseconds
         val RETENTION = 60.seconds
+
+        /** Shorter than [REPORT_TIMEOUT], since an instance that is cut off spends its share of the limits from then on. */
+        val LIMIT_SHARE_TIMEOUT = 1300.milliseconds
     }
 }
--- a/policy/src/test/kotlin/anvilslip/policy/EntryTrackerSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/EntryTrackerSpec.kt
@@ -42,9 +42,9 @@
         describe("the share of reachable entry instances") {
             it("falls once an instance in use has not reported for a while") {
                 val tracker = tracker(entry("a"), entry("b"), entry("c"), entry("d"))
-                tracker.record(entry("a"), 6.seconds)
-                tracker.reachableShare(5.seconds) shouldBe 1.0
-                tracker.reachableShare(6.seconds) shouldBe 0.25
+                tracker.record(entry("a"), 4.seconds)
+                tracker.reachableShare(4200.milliseconds) shouldBe 1.0
+                tracker.reachableShare(4300.milliseconds) shouldBe 0.25
             }
 
             it("takes into account instances that only other control instances have heard of") {
