Divide the retry reserve by the current number of entry instances

Change: the part is computed for each retry from the current count, and is nothing until a control instance has reported one.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -187,12 +187,10 @@
         settings.readiness?.let { kernel.install(HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1)) }
     }
 
-    private fun retryBudget() =
-        RetryBudget(
-            settings.retryWindow,
-            settings.retryShare * BUDGET_SAFETY,
-            settings.retryReserve * BUDGET_SAFETY / (clusterView.entryCount ?: 1),
-        )
+    private fun retryBudget() = RetryBudget(settings.retryWindow, settings.retryShare * BUDGET_SAFETY, ::retryReserve)
+
+    /** This instance's part of the retry reserve; nothing until it is known among how many the reserve is divided. */
+    private fun retryReserve(): Double = clusterView.entryCount?.let { settings.retryReserve * BUDGET_SAFETY / it } ?: 0.0
 
     private fun clientOptions(): HttpServerOptions {
         val limits = clusterView.active.configuration?.limits ?: return HttpServerOptions()
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -121,7 +121,7 @@
                     sender = RequestSender(client, TestDialect, progress, SystemClock),
                     metrics = GatewayMetrics(Metrics()),
                     clock = SystemClock,
-                    retryBudget = { RetryBudget(10.seconds, 0.0, 2.0) },
+                    retryBudget = { RetryBudget(10.seconds, 0.0) { 2.0 } },
                 )
             val port = ServerSocket(0).use { it.localPort }
             val server = HttpServer("test", Address("127.0.0.1", port), forwarder, threads = 1)
--- a/policy/src/main/kotlin/anvilslip/policy/RetryBudget.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RetryBudget.kt
@@ -5,11 +5,13 @@
 /**
  * Limits the retries of one instance within a sliding [window] to [ratio] times the number of requests plus [reserve]. The budget
  * of all instances together is kept because each instance keeps its own part of it. Not thread-safe.
+ *
+ * @param reserve the current part of this instance, which changes with the number of instances
  */
 public class RetryBudget(
     private val window: Duration,
     private val ratio: Double,
-    private val reserve: Double,
+    private val reserve: () -> Double,
 ) {
     private val requests = ArrayDeque<Duration>()
     private val retries = ArrayDeque<Duration>()
@@ -24,7 +26,7 @@
     public fun tryRetry(now: Duration): Boolean {
         evictExpired(requests, now)
         evictExpired(retries, now)
-        if (retries.size + 1 > requests.size * ratio + reserve) return false
+        if (retries.size + 1 > requests.size * ratio + reserve()) return false
         retries.addLast(now)
         return true
     }
