Let a request wait for a leader when this instance's share of its limit is used up

Cause: a local share is a fraction of the limit, 1/78 on a large deployment, less than one prompt, and with its memory it is empty more often. A request of a workspace that is far from its limit was answered 429 at once, with the time until the share refills, up to several seconds, although a leader is back within about a second and other instances may reach one now. Change: such a request waits as those without a loaded adapter do (up to half of its target), and is then refused with 500 ms. ForwarderSpec: three local refusals and then an answer; it was answered 429 at once before.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -148,11 +148,7 @@
             return true
         }
         val waited = now - exchange.startedAt
-        if (term != null || refusal.reason == DispatchRefusal.OVER_LIMIT ||
-            waited > exchange.route.target * LEADERLESS_WAIT_SHARE
-        ) {
-            return false
-        }
+        if (term != null || waited > exchange.route.target * LEADERLESS_WAIT_SHARE) return false
         delay(LEADERLESS_POLL)
         return true
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -72,16 +72,15 @@
         now: Duration,
     ): DispatchDecision.Refuse? {
         val workspace = limitedWorkspace(request) ?: return null
-        val entries = clusterView.entryCount ?: return refuseOverLimit(RETRY_AFTER)
-        val wait = limits.waitTime(workspace, request.charge, entries, now)
-        if (wait.isPositive()) return refuseOverLimit(wait)
+        val entries = clusterView.entryCount ?: return refuseOverLimit()
+        if (limits.waitTime(workspace, request.charge, entries, now).isPositive()) return refuseOverLimit()
         limits.spend(workspace, request.charge, entries, now)
         if (now - loggedAt >= LOG_INTERVAL) logLimits(entries, now)
         return null
     }
 
-    private fun refuseOverLimit(wait: Duration) =
-        DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, wait.inWholeMilliseconds.coerceAtLeast(1))
+    /** The retry delay is not that of the local share, since a leader, or an instance that reaches one, knows the whole limit. */
+    private fun refuseOverLimit() = DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, RETRY_AFTER.inWholeMilliseconds)
 
     private fun limitedWorkspace(request: DispatchRequest): ServingWorkspace? {
         if (request.workspace == null || request.charge <= 0) return null
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -76,11 +76,13 @@
 
         /**
          * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
-         * port. Of the requests for a retry, the first [refusals] are refused; [demands] records all requests for admission.
+         * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
+         * without a leader because of the limit; [demands] records all requests for admission.
          */
         suspend fun withForwarder(
             servers: List<ScriptedServer>,
             refusals: Int = 0,
+            localRefusals: Int = 0,
             demands: MutableList<DispatchRequest> = mutableListOf(),
             action: suspend (call: (path: String) -> String, port: Int) -> Unit,
         ) {
@@ -102,6 +104,9 @@
 
             suspend fun admit(demand: DispatchRequest): AdmissionClient.Result {
                 demands += demand
+                if (demands.size <= localRefusals) {
+                    return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500), null)
+                }
                 if (demand.exclude.isNotEmpty() && refused++ < refusals) {
                     return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.LOADING, 100), 1)
                 }
@@ -250,6 +255,21 @@
             }
         }
 
+        describe("a request beyond the share of its limit that may be spent without a leader") {
+            it("waits for a leader, which knows the whole limit") {
+                val free = ScriptedServer { head, _ -> wholeResponse(head) }
+                withForwarder(listOf(free), localRefusals = 3) { call, _ -> call("/again/1") shouldEndWith "yes" }
+            }
+
+            it("is refused if no leader is found in time, to be retried at another instance without waiting for this one's share") {
+                withForwarder(emptyList(), localRefusals = 100) { call, _ ->
+                    val answer = call("/again/1")
+                    answer shouldStartWith "HTTP/1.1 429"
+                    answer shouldContain "retry: 500"
+                }
+            }
+        }
+
         describe("a client that disconnects") {
             it("causes the connection to the server to be closed") {
                 val silent = ScriptedServer { _, _ -> null }
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -32,5 +32,8 @@
         status: Int,
         reason: String,
         retryAfter: Duration?,
-    ): HttpResponse = HttpResponse.text(status, reason)
+    ): HttpResponse {
+        val headers = retryAfter?.let { mapOf("retry" to "${it.inWholeMilliseconds}") }.orEmpty()
+        return HttpResponse(status, reason.toByteArray(), "text/plain", headers)
+    }
 }
