Grant nothing of a limit while no entry instance has reported to a leader

Cause: a leader that started while all entry instances were cut off from it knew of none, took its share for whole and saved up a burst, while those instances spent their shares; after the cut it granted that burst on top. A bucket with rate and burst 0 let every request pass; it waits forever now.

--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -126,7 +126,7 @@
     ): Admission {
         val wait = limits.waitTime(request.workspace, request.charge, now)
         val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
-        if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, wait - maxLimitWait / 2, wait = wait)
+        if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
         val admission = place(request, wait, now)
         val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
         if (sent) limits.spend(request.workspace, request.charge, now)
@@ -211,16 +211,30 @@
         request: DispatchRequest,
     ): Duration = (wait / 2 - request.targetMillis.milliseconds / 4).coerceIn(MIN_RETRY, MAX_RETRY)
 
+    /** A limit of zero, as long as no entry instance has reported, has an infinite wait; it ends with the first report. */
+    private fun limitRetryAfter(wait: Duration): Duration = if (wait.isInfinite()) NO_SHARE_RETRY else wait
+
     private fun refuse(
         reason: DispatchRefusal,
         retry: Duration,
         servers: Int = 0,
         wait: Duration? = null,
     ): Admission =
-        Admission.Decided(DispatchDecision.Refuse(reason, retry.inWholeMilliseconds.coerceAtLeast(1), servers, wait?.inWholeMilliseconds))
+        Admission.Decided(
+            DispatchDecision.Refuse(
+                reason,
+                retry.inWholeMilliseconds.coerceAtLeast(1),
+                servers,
+                wait
+                    ?.takeIf {
+                        it.isFinite()
+                    }?.inWholeMilliseconds,
+            ),
+        )
 
     private companion object {
         val NO_SERVER_RETRY = 500.milliseconds
+        val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
         val BUSY_RETRY = 200.milliseconds
         val MIN_RETRY = 50.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
@@ -39,7 +39,7 @@
     public fun reachableShare(now: Duration): Double {
         val recent = reports.values.filter { now - it.receivedAt < LIMIT_SHARE_TIMEOUT }
         val known = maxOf(countInUse(now), recent.maxOfOrNull { it.entry.knownEntries } ?: 0)
-        return if (known == 0) 1.0 else recent.size.toDouble() / known
+        return if (known == 0) 0.0 else recent.size.toDouble() / known
     }
 
     private fun countInUse(now: Duration): Int =
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -33,12 +33,16 @@
         level = minOf(level, burst)
     }
 
-    /** Time to delay a request of [tokens] so that it stays within the limit. A request larger than the burst waits for a full bucket. */
+    /**
+     * Time to delay a request of [tokens] so that it stays within the limit; infinite while the rate is zero. A request larger than
+     * the burst waits for a full bucket.
+     */
     public fun waitTime(
         tokens: Double,
         now: Duration,
     ): Duration {
         refill(now)
+        if (rate <= 0) return Duration.INFINITE
         val missing = minOf(tokens, burst) - level
         return if (missing <= 0) Duration.ZERO else (missing / rate).seconds
     }
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -235,6 +235,13 @@
                 refusal.reason shouldBe DispatchRefusal.OVER_LIMIT
             }
 
+            it("is refused with a finite retry delay while no part of the limit is granted") {
+                val dispatcher = dispatcher(plain("p"))
+                dispatcher.setLimitShare(0.0, Duration.ZERO)
+                val refusal = dispatcher.decide(request(service = "app", charge = 200), 1.seconds)
+                refusal shouldBe DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500)
+            }
+
             it("is refunded for a request that did not run") {
                 val dispatcher = dispatcher(plain("p"))
                 val first = request(service = "app", charge = 1000)
