--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -4,7 +4,6 @@
 import anvilslip.entry.HttpResponder
 import anvilslip.entry.HttpServerRequest
 import anvilslip.kernel.Clock
-import anvilslip.kernel.EventLogger
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
@@ -32,11 +31,11 @@
     private val local: LocalDispatch,
     private val progress: ProgressReporter,
     private val sender: RequestSender,
-    private val metrics: GatewayMetrics,
+    metrics: GatewayMetrics,
     private val clock: Clock,
     private val retryBudget: () -> RetryBudget,
 ) : HttpHandler {
-    private val log = EventLogger("request")
+    private val log = RequestLog(metrics, clock)
     private val lastNumber = AtomicLong()
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
 
@@ -87,7 +86,7 @@
             val finished = withTimeoutOrNull(exchange.deadline - clock.elapsed()) { serve(exchange) }
             outcome = finished ?: failExpired(exchange)
         } finally {
-            recordOutcome(exchange, outcome)
+            log.recordOutcome(exchange, outcome)
         }
     }
 
@@ -166,7 +165,7 @@
             }
 
             is AttemptResult.NotRun -> {
-                log.info("not_run", "request_id" to exchange.request.attemptId, "server" to decision.server, "reason" to result.reason)
+                log.recordFailedAttempt("not_run", exchange, decision, result.reason)
                 exchange.isCharged = exchange.possibleRuns > 0
                 exchange.excludedServers += decision.server
                 if (exchange.attempts < MAX_ATTEMPTS && acquireRetry(exchange)) return null
@@ -184,7 +183,7 @@
             }
 
             is AttemptResult.Broken -> {
-                log.info("broken", "request_id" to exchange.request.attemptId, "server" to decision.server, "reason" to result.reason)
+                log.recordFailedAttempt("broken", exchange, decision, result.reason)
                 exchange.possibleRuns++
                 exchange.lastBreakAt = clock.elapsed()
                 exchange.excludedServers += decision.server
@@ -248,17 +247,7 @@
         exchange: Exchange,
         refusal: DispatchDecision.Refuse,
     ): String {
-        log.info(
-            "refused",
-            "request_id" to exchange.request.attemptId,
-            "reason" to refusal.reason.name.lowercase(),
-            "term" to (exchange.lastTerm ?: "none"),
-            "servers" to refusal.servers,
-            "wait_ms" to refusal.waitMillis,
-            "target_ms" to exchange.route.target.inWholeMilliseconds,
-            "retry_ms" to refusal.retryMillis,
-            "configuration" to exchange.configurationVersion,
-        )
+        log.recordRefusal(exchange, refusal)
         val status = if (refusal.reason == DispatchRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
         return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, refusal.retryMillis.milliseconds)
@@ -295,52 +284,10 @@
         reason: String,
         retryAfter: Duration? = null,
     ) {
-        metrics.outcomes.labelValues(NO_ROUTE, reason).inc()
-        log.info(
-            "refused",
-            "request_id" to request.attemptId,
-            "status" to status,
-            "reason" to reason,
-            "configuration" to clusterView.active.document?.version,
-        )
+        log.recordDenial(request, status, reason, clusterView.active.document?.version)
         responder.respond(dialect.errorResponse(request, status, reason, retryAfter))
     }
 
-    private fun recordOutcome(
-        exchange: Exchange,
-        outcome: String,
-    ) {
-        val duration = clock.elapsed() - exchange.startedAt
-        metrics.outcomes
-            .labelValues(
-                exchange.route.kind.name
-                    .lowercase(),
-                outcome,
-            ).inc()
-        metrics.duration
-            .labelValues(
-                exchange.route.kind.name
-                    .lowercase(),
-            ).observe(duration.inWholeMilliseconds / MILLIS_PER_SECOND)
-        log.info(
-            "finished",
-            "request_id" to exchange.request.attemptId,
-            "route" to exchange.route.name,
-            "service" to exchange.service,
-            "workspace" to exchange.workspace?.name,
-            "adapter" to exchange.request.adapter,
-            "server" to exchange.lastServer,
-            "sendings" to exchange.attempts,
-            "configuration" to exchange.configurationVersion,
-            "term" to (exchange.lastTerm ?: "none"),
-            "charge" to exchange.charge,
-            "charged_ms" to exchange.chargedAt?.minus(exchange.startedAt)?.inWholeMilliseconds,
-            "sent_ms" to exchange.firstSentAt?.minus(exchange.startedAt)?.inWholeMilliseconds,
-            "took_ms" to duration.inWholeMilliseconds,
-            "outcome" to outcome,
-        )
-    }
-
     private companion object {
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
@@ -351,8 +298,6 @@
 
         /** Attempts per request, including those that the server did not run. */
         const val MAX_ATTEMPTS = 3
-        const val NO_ROUTE = "none"
-        const val MILLIS_PER_SECOND = 1000.0
 
         /** Share of the route's target latency for which a request may wait for a leader. */
         const val LEADERLESS_WAIT_SHARE = 0.5
