Keep a leader's state while its lease of the same term lapses

The debts of workspaces were forgotten, up to half a second of their rate each time, and with them what it knew of running requests and servers. Change: TermState keeps the state of a term; no other leader can have decided before a later term has begun. leading_began and leading_ended are logged as before, term_began says that the state is new.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -56,9 +56,14 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val lock = Any()
 
+    private val termState = TermState<LeaderTerm>()
+
     @Volatile
     private var activeTerm: LeaderTerm? = null
 
+    @Volatile
+    private var wasLeading = false
+
     @Volatile
     private var lastLeader: String? = null
 
@@ -139,23 +144,25 @@
     /** Returns the state of the current term, created now if this instance has just been elected; null if it does not lead. */
     private fun currentTerm(): LeaderTerm? {
         val view = replica.view
-        if (!replica.isLeading) {
-            if (activeTerm != null) log.info("leading_ended", "term" to activeTerm?.number)
-            activeTerm = null
-            return null
-        }
-        activeTerm?.takeIf { it.number == view.term }?.let { return it }
-        return synchronized(lock) {
-            activeTerm?.takeIf { it.number == view.term }
-                ?: startTerm(view.term, hasPredecessor = view.state.document != null).also { activeTerm = it }
-        }
+        val isLeading = view.leaseUntil?.let { clock.elapsed() < it } ?: false
+        if (isLeading != wasLeading) logLeading(isLeading, view.term)
+        if (!isLeading) return null
+        return termState.of(view.term) { startTerm(view.term, hasPredecessor = view.state.document != null) }.also { activeTerm = it }
+    }
+
+    private fun logLeading(
+        isLeading: Boolean,
+        term: Long,
+    ) {
+        wasLeading = isLeading
+        log.info(if (isLeading) "leading_began" else "leading_ended", "term" to term)
     }
 
     private fun startTerm(
         number: Long,
         hasPredecessor: Boolean,
     ): LeaderTerm {
-        log.info("leading_began", "term" to number, "has_predecessor" to hasPredecessor)
+        log.info("term_began", "term" to number, "has_predecessor" to hasPredecessor)
         val now = clock.elapsed()
         return LeaderTerm(number, Dispatcher(options, now, hasPredecessor), lastLeader, now).also(::refreshDispatcher)
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/TermState.kt
@@ -0,0 +1,26 @@
+package anvilslip.gateway
+
+/**
+ * State of a leader in its current term. It is kept while the leader lease of the term has lapsed, since no other leader can have
+ * decided in between unless a later term has begun. Thread-safe.
+ */
+internal class TermState<T : Any> {
+    private class Entry<T>(
+        val term: Long,
+        val state: T,
+    )
+
+    @Volatile
+    private var entry: Entry<T>? = null
+
+    /** Returns the state of [term], created by [create] if this instance has not led in it before. */
+    fun of(
+        term: Long,
+        create: () -> T,
+    ): T {
+        entry?.takeIf { it.term == term }?.let { return it.state }
+        return synchronized(this) {
+            (entry?.takeIf { it.term == term } ?: Entry(term, create()).also { entry = it }).state
+        }
+    }
+}
