Ask one place whether a replica leads, and derive whether a term is current

LeaderDispatch repeated the lease check of Replica.isLeading and kept activeTerm beside TermState, only to compare it before an order is sent. ReplicaView.isLeading serves both; an order is sent if its term is the replica's and the lease holds. The change of leading is taken by one caller, so it is logged once. No change of what is decided.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -25,6 +25,7 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -55,14 +56,8 @@
     private val log = EventLogger("dispatch")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val lock = Any()
-
     private val termState = TermState<LeaderTerm>()
-
-    @Volatile
-    private var activeTerm: LeaderTerm? = null
-
-    @Volatile
-    private var wasLeading = false
+    private val wasLeading = AtomicBoolean()
 
     @Volatile
     private var lastLeader: String? = null
@@ -144,18 +139,11 @@
     /** Returns the state of the current term, created now if this instance has just been elected; null if it does not lead. */
     private fun currentTerm(): LeaderTerm? {
         val view = replica.view
-        val isLeading = view.leaseUntil?.let { clock.elapsed() < it } ?: false
-        if (isLeading != wasLeading) logLeading(isLeading, view.term)
-        if (!isLeading) return null
-        return termState.of(view.term) { startTerm(view.term, hasPredecessor = view.state.document != null) }.also { activeTerm = it }
-    }
-
-    private fun logLeading(
-        isLeading: Boolean,
-        term: Long,
-    ) {
-        wasLeading = isLeading
-        log.info(if (isLeading) "leading_began" else "leading_ended", "term" to term)
+        val isLeading = view.isLeading(clock.elapsed())
+        if (wasLeading.getAndSet(isLeading) != isLeading) {
+            log.info(if (isLeading) "leading_began" else "leading_ended", "term" to view.term)
+        }
+        return if (isLeading) termState.of(view.term) { startTerm(view.term, hasPredecessor = view.state.document != null) } else null
     }
 
     private fun startTerm(
@@ -298,7 +286,8 @@
         term: LeaderTerm,
         order: EngineOrder,
     ): OrderReply {
-        if (activeTerm !== term || !replica.isLeading) return OrderReply.REFUSED
+        val view = replica.view
+        if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
         val reply = engineClient.sendOrder(order, term.number)
         log.info(
             if (order.isLoad) "load_ordered" else "unload_ordered",
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -67,8 +67,7 @@
         private set
 
     /** True while this replica is the leader and holds the leader lease. */
-    public val isLeading: Boolean
-        get() = view.leaseUntil?.let { clock.elapsed() < it } ?: false
+    public val isLeading: Boolean get() = view.isLeading(clock.elapsed())
 
     @OptIn(ExperimentalCoroutinesApi::class)
     override suspend fun start() {
--- a/state/src/main/kotlin/anvilslip/state/ReplicaView.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaView.kt
@@ -16,4 +16,7 @@
     val leaseUntil: Duration? = null,
     /** Replicas that have acknowledged entries of this leader in its term; empty if this replica is not the leader. */
     val followers: Set<ReplicaId> = emptySet(),
-)
+) {
+    /** True if this replica is the leader and its lease has not expired at monotonic time [now]. */
+    public fun isLeading(now: Duration): Boolean = leaseUntil?.let { now < it } ?: false
+}
