Count the usage of a limit in its bucket

WorkspaceLimits and LocalLimits each kept a second map of what had been charged since the last log line, keyed by workspace like the buckets. The bucket counts it now and both only collect it; what a leader granted has one operation in place of a spend and a cap on the debt. WorkspaceBucketSpec checks the report, which had no test. Levels and log lines are as before.

--- a/policy/src/main/kotlin/anvilslip/policy/LocalLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LocalLimits.kt
@@ -8,7 +8,6 @@
  */
 public class LocalLimits {
     private val buckets = HashMap<String, WorkspaceBucket>()
-    private val unlogged = HashMap<String, Long>()
 
     /** Time to wait until [tokens] of [workspace] may be spent locally if [entries] instances share its limit. */
     public fun waitTime(
@@ -24,10 +23,7 @@
         tokens: Long,
         entries: Int,
         now: Duration,
-    ) {
-        bucket(workspace, entries, now).spend(tokens.toDouble(), now)
-        unlogged.merge(workspace.name, tokens, Long::plus)
-    }
+    ): Unit = bucket(workspace, entries, now).spend(tokens.toDouble(), now)
 
     /**
      * Charges [tokens] that a leader granted. A leader may grant more than a share to one instance; the debt is limited, so that the
@@ -39,17 +35,12 @@
         entries: Int,
         now: Duration,
     ) {
-        val bucket = bucket(workspace, entries, now)
-        bucket.spend(tokens.toDouble(), now)
-        bucket.limitDebt(maxOf(workspace.burst / entries, tokens.toDouble()))
+        val maxDebt = maxOf(workspace.burst / entries, tokens.toDouble())
+        bucket(workspace, entries, now).spendGranted(tokens.toDouble(), maxDebt, now)
     }
 
     /** Returns the usage of the workspaces for which tokens were spent locally since the last call, for the log. */
-    public fun takeUsage(): List<LimitUsage> {
-        val usage = unlogged.mapNotNull { (name, tokens) -> buckets[name]?.let { LimitUsage(name, it.rate, it.level, tokens, 0) } }
-        unlogged.clear()
-        return usage
-    }
+    public fun takeUsage(): List<LimitUsage> = buckets.mapNotNull { (name, bucket) -> bucket.takeUsage(name) }
 
     private fun bucket(
         workspace: ServingWorkspace,
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -6,16 +6,14 @@
 
 /** Token bucket of one workspace, refilled at [rate] tokens per second up to [burst]. Not thread-safe. */
 public class WorkspaceBucket(
-    rate: Double,
+    private var rate: Double,
     private var burst: Double,
     level: Double,
     now: Duration,
 ) {
     private var refilledAt = now
-
-    /** Refill rate in tokens per second. */
-    public var rate: Double = rate
-        private set
+    private var unreportedSpent = 0.0
+    private var unreportedRefunds = 0.0
 
     /** Tokens that may be spent now; negative while there is a debt. */
     public var level: Double = level
@@ -54,16 +52,32 @@
     ) {
         refill(now)
         level -= tokens
+        unreportedSpent += tokens
     }
 
-    /** Cancels the debt beyond [tokens]. */
-    public fun limitDebt(tokens: Double) {
-        level = maxOf(level, -tokens)
+    /** Spends [tokens] that another bucket has granted, down to a debt of [maxDebt]. They do not count as usage of this bucket. */
+    public fun spendGranted(
+        tokens: Double,
+        maxDebt: Double,
+        now: Duration,
+    ) {
+        refill(now)
+        level = maxOf(level - tokens, -maxDebt)
     }
 
     /** Refunds [tokens] of a request that did not run. */
     public fun refund(tokens: Double) {
         level = minOf(burst, level + tokens)
+        unreportedRefunds += tokens
+    }
+
+    /** Returns the tokens of [workspace] spent and refunded since the last call, or null if there were none. */
+    public fun takeUsage(workspace: String): LimitUsage? {
+        if (unreportedSpent == 0.0 && unreportedRefunds == 0.0) return null
+        val usage = LimitUsage(workspace, rate, level, unreportedSpent.toLong(), unreportedRefunds.toLong())
+        unreportedSpent = 0.0
+        unreportedRefunds = 0.0
+        return usage
     }
 
     private fun refill(now: Duration) {
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
@@ -7,13 +7,7 @@
     /** True if another leader preceded this one. Buckets then start empty, since their bursts may have been spent already. */
     private val hasPredecessor: Boolean,
 ) {
-    private class Unreported(
-        var charged: Long = 0,
-        var refunded: Long = 0,
-    )
-
     private val buckets = HashMap<String, WorkspaceBucket>()
-    private val unreported = HashMap<String, Unreported>()
     private var workspaces: List<ServingWorkspace> = emptyList()
     private var share = 1.0
 
@@ -53,29 +47,18 @@
         tokens: Long,
         now: Duration,
     ) {
-        val bucket = bucket(workspace, tokens) ?: return
-        bucket.spend(tokens.toDouble(), now)
-        unreported.getOrPut(workspace!!, ::Unreported).charged += tokens
+        bucket(workspace, tokens)?.spend(tokens.toDouble(), now)
     }
 
     fun refund(
         workspace: String?,
         tokens: Long,
     ) {
-        val bucket = bucket(workspace, tokens) ?: return
-        bucket.refund(tokens.toDouble())
-        unreported.getOrPut(workspace!!, ::Unreported).refunded += tokens
+        bucket(workspace, tokens)?.refund(tokens.toDouble())
     }
 
     /** Returns the usage of the workspaces charged or refunded since the last call. */
-    fun takeUsage(): List<LimitUsage> {
-        val usage =
-            unreported.mapNotNull { (name, tokens) ->
-                buckets[name]?.let { LimitUsage(name, it.rate, it.level, tokens.charged, tokens.refunded) }
-            }
-        unreported.clear()
-        return usage
-    }
+    fun takeUsage(): List<LimitUsage> = buckets.mapNotNull { (name, bucket) -> bucket.takeUsage(name) }
 
     private fun bucket(
         workspace: String?,
--- a/policy/src/test/kotlin/anvilslip/policy/WorkspaceBucketSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/WorkspaceBucketSpec.kt
@@ -27,6 +27,16 @@
                 bucket.waitTime(1.0, Duration.ZERO) shouldBe 1510.milliseconds
             }
 
+            it("reports the tokens spent and refunded since the last report, without those that another bucket granted") {
+                val bucket = WorkspaceBucket(rate = 100.0, burst = 100.0, level = 100.0, now = Duration.ZERO)
+                bucket.takeUsage("w") shouldBe null
+                bucket.spend(60.0, Duration.ZERO)
+                bucket.refund(20.0)
+                bucket.spendGranted(300.0, maxDebt = 100.0, now = Duration.ZERO)
+                bucket.takeUsage("w") shouldBe LimitUsage("w", rate = 100.0, level = -100.0, charged = 60, refunded = 20)
+                bucket.takeUsage("w") shouldBe null
+            }
+
             it("keeps the tokens spent in any window within rate and burst at eight times the rate") {
                 val random = Random(7)
                 val bucket = WorkspaceBucket(rate = 1000.0, burst = 1000.0, level = 1000.0, now = Duration.ZERO)
