--- a/cli/src/main/kotlin/anvilslip/cli/OperatorClient.kt
+++ b/cli/src/main/kotlin/anvilslip/cli/OperatorClient.kt
@@ -1,11 +1,11 @@
 package anvilslip.cli
 
-import anvilslip.entry.OperatorAccepted
-import anvilslip.entry.OperatorChange
-import anvilslip.entry.OperatorConfiguration
-import anvilslip.entry.OperatorPardon
-import anvilslip.entry.OperatorStatus
-import anvilslip.entry.OperatorTimeline
+import anvilslip.entry.operator.OperatorAccepted
+import anvilslip.entry.operator.OperatorChange
+import anvilslip.entry.operator.OperatorConfiguration
+import anvilslip.entry.operator.OperatorPardon
+import anvilslip.entry.operator.OperatorStatus
+import anvilslip.entry.operator.OperatorTimeline
 import anvilslip.state.Change
 import arrow.core.Either
 import arrow.core.left
--- a/cli/src/main/kotlin/anvilslip/cli/ReadCommands.kt
+++ b/cli/src/main/kotlin/anvilslip/cli/ReadCommands.kt
@@ -1,8 +1,8 @@
 package anvilslip.cli
 
-import anvilslip.entry.OperatorConfiguration
-import anvilslip.entry.OperatorStatus
-import anvilslip.entry.OperatorTimeline
+import anvilslip.entry.operator.OperatorConfiguration
+import anvilslip.entry.operator.OperatorStatus
+import anvilslip.entry.operator.OperatorTimeline
 import anvilslip.kernel.Event
 import arrow.core.Either
 import kotlinx.cli.ArgType
--- a/entry/src/main/kotlin/anvilslip/entry/AnnouncementHandler.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/AnnouncementHandler.kt
@@ -1,6 +1,13 @@
 package anvilslip.entry
 
 import anvilslip.control.ControlService
+import anvilslip.entry.completion.BackendDialect
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
--- a/entry/src/main/kotlin/anvilslip/entry/Authenticator.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/Authenticator.kt
@@ -1,6 +1,8 @@
 package anvilslip.entry
 
 import anvilslip.control.ControlService
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
--- a/entry/src/main/kotlin/anvilslip/entry/ServiceForwarder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/ServiceForwarder.kt
@@ -1,6 +1,15 @@
 package anvilslip.entry
 
 import anvilslip.control.ControlService
+import anvilslip.entry.caller.CallerRequest
+import anvilslip.entry.completion.AdmittedRequest
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientException
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.Ran
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventKind
 import anvilslip.kernel.Service
--- a/entry/src/main/kotlin/anvilslip/entry/TokenErrors.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/TokenErrors.kt
@@ -1,6 +1,8 @@
 package anvilslip.entry
 
 import anvilslip.control.TokenRefusal
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
 import kotlin.time.Duration.Companion.milliseconds
 
 private val LEADER_RETRY = 200.milliseconds
--- a/entry/src/main/kotlin/anvilslip/entry/CallerContext.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/caller/CallerContext.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.caller
 
 /** Caller credentials and request metadata from the headers. */
 public data class CallerContext(
--- a/entry/src/main/kotlin/anvilslip/entry/CallerDialect.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/caller/CallerDialect.kt
@@ -1,5 +1,9 @@
-package anvilslip.entry
+package anvilslip.entry.caller
 
+import anvilslip.entry.completion.CompletionRequest
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import anvilslip.policy.InstanceView
 import arrow.core.Either
 import kotlin.time.Duration
--- a/entry/src/main/kotlin/anvilslip/entry/CallerHandler.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/caller/CallerHandler.kt
@@ -1,7 +1,19 @@
-package anvilslip.entry
+package anvilslip.entry.caller
 
 import anvilslip.control.ControlService
 import anvilslip.control.TokenRefusal
+import anvilslip.entry.Authenticator
+import anvilslip.entry.ServiceForwarder
+import anvilslip.entry.completion.AdmittedRequest
+import anvilslip.entry.completion.CompletionService
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
+import anvilslip.entry.http.Ran
+import anvilslip.entry.tokenError
 import anvilslip.kernel.Clock
 import anvilslip.kernel.Metrics
 import anvilslip.policy.InstanceView
--- a/entry/src/main/kotlin/anvilslip/entry/CallerRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/caller/CallerRequest.kt
@@ -1,4 +1,6 @@
-package anvilslip.entry
+package anvilslip.entry.caller
+
+import anvilslip.entry.completion.CompletionRequest
 
 /** An operation requested by a caller. */
 public sealed interface CallerRequest {
--- a/entry/src/main/kotlin/anvilslip/entry/AdmittedRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/AdmittedRequest.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 import kotlin.time.Duration
 
--- a/entry/src/main/kotlin/anvilslip/entry/BackendDialect.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/BackendDialect.kt
@@ -1,6 +1,7 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 import anvilslip.control.AdapterLoader
+import anvilslip.entry.http.HttpClientException
 import anvilslip.kernel.Finding
 import anvilslip.policy.Announcement
 import arrow.core.Either
--- a/entry/src/main/kotlin/anvilslip/entry/BackendRejectedException.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/BackendRejectedException.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 /** A model engine rejected a request without running it. */
 public class BackendRejectedException(
--- a/entry/src/main/kotlin/anvilslip/entry/CompletionService.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionService.kt
@@ -1,7 +1,14 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 import anvilslip.control.ControlService
 import anvilslip.control.TokenRefusal
+import anvilslip.entry.Authenticator
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpClientException
+import anvilslip.entry.http.Ran
+import anvilslip.entry.sha256
+import anvilslip.entry.tokenError
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventKind
 import anvilslip.kernel.Service
--- a/entry/src/main/kotlin/anvilslip/entry/CompletionSink.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionSink.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 /** Receives the parts of a response as they arrive. */
 public interface CompletionSink {
--- a/entry/src/main/kotlin/anvilslip/entry/CompletionStream.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionStream.kt
@@ -1,4 +1,6 @@
-package anvilslip.entry
+package anvilslip.entry.completion
+
+import anvilslip.entry.http.HttpClientException
 
 /** A response of a model engine that is being received. */
 public interface CompletionStream : AutoCloseable {
--- a/entry/src/main/kotlin/anvilslip/entry/JsonBackendDialect.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/JsonBackendDialect.kt
@@ -1,5 +1,9 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientException
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpClientResponse
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Finding
 import anvilslip.kernel.Findings
--- a/entry/src/main/kotlin/anvilslip/entry/WaitTracker.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/WaitTracker.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.completion
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventKind
--- a/entry/src/main/kotlin/anvilslip/entry/ApiError.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ApiError.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
--- a/entry/src/main/kotlin/anvilslip/entry/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
--- a/entry/src/main/kotlin/anvilslip/entry/ErrorCode.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ErrorCode.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** Stable error codes in responses to callers and operators. */
 public enum class ErrorCode(
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.Service
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientException.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientException.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** Failure of an exchange with a backend server. */
 public sealed class HttpClientException(
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** A request to a backend server. Only Host and Content-Length are sent in addition to [headers]. */
 public class HttpClientRequest(
--- a/entry/src/main/kotlin/anvilslip/entry/HttpClientResponse.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
--- a/entry/src/main/kotlin/anvilslip/entry/HttpHandler.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpHandler.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** Handles HTTP requests. Cancelled when the client closes the connection. */
 public fun interface HttpHandler {
--- a/entry/src/main/kotlin/anvilslip/entry/HttpResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpResponder.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** Sends the response to one request, either complete or streamed in parts. */
 public interface HttpResponder {
--- a/entry/src/main/kotlin/anvilslip/entry/HttpResponse.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpResponse.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** A complete HTTP response. */
 public class HttpResponse(
--- a/entry/src/main/kotlin/anvilslip/entry/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
--- a/entry/src/main/kotlin/anvilslip/entry/HttpServerOptions.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServerOptions.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
--- a/entry/src/main/kotlin/anvilslip/entry/HttpServerRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServerRequest.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** A complete request as received. Header names are lower case; a repeated header has several values. */
 public class HttpServerRequest(
--- a/entry/src/main/kotlin/anvilslip/entry/NettyFutures.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyFutures.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
--- a/entry/src/main/kotlin/anvilslip/entry/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
--- a/entry/src/main/kotlin/anvilslip/entry/Ran.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/Ran.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 /** Whether a failed request may have been executed. */
 public enum class Ran(
--- a/entry/src/main/kotlin/anvilslip/entry/StrictRequestDecoder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/StrictRequestDecoder.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
--- a/entry/src/main/kotlin/anvilslip/entry/OperatorAccepted.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/operator/OperatorAccepted.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.operator
 
 import kotlinx.serialization.Serializable
 
--- a/entry/src/main/kotlin/anvilslip/entry/OperatorHandler.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/operator/OperatorHandler.kt
@@ -1,7 +1,15 @@
-package anvilslip.entry
+package anvilslip.entry.operator
 
 import anvilslip.control.ControlService
 import anvilslip.control.LeaderClient
+import anvilslip.entry.completion.WaitTracker
+import anvilslip.entry.http.ApiError
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
+import anvilslip.entry.http.Ran
 import anvilslip.kernel.Event
 import anvilslip.kernel.Metrics
 import anvilslip.kernel.Stamp
--- a/entry/src/main/kotlin/anvilslip/entry/OperatorTimeline.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/operator/OperatorTimeline.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.operator
 
 import anvilslip.kernel.Event
 import kotlinx.serialization.Serializable
--- a/entry/src/test/kotlin/anvilslip/entry/OpenAiCallerDialectSpec.kt
+++ b/entry/src/test/kotlin/anvilslip/entry/caller/OpenAiCallerDialectSpec.kt
@@ -1,5 +1,8 @@
-package anvilslip.entry
+package anvilslip.entry.caller
 
+import anvilslip.entry.SecretKeys
+import anvilslip.entry.http.ErrorCode
+import anvilslip.entry.http.HttpServerRequest
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
--- a/entry/src/test/kotlin/anvilslip/entry/HttpServerSpec.kt
+++ b/entry/src/test/kotlin/anvilslip/entry/http/HttpServerSpec.kt
@@ -1,4 +1,4 @@
-package anvilslip.entry
+package anvilslip.entry.http
 
 import anvilslip.settings.Address
 import io.kotest.core.spec.style.DescribeSpec
--- a/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
@@ -1,6 +1,6 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpResponse
+import anvilslip.entry.http.HttpResponse
 
 /** How an [Attempt] ended. */
 internal sealed interface AttemptResult {
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -1,6 +1,6 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpServerRequest
 import kotlin.time.Duration
 
 /** A decoded client request. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -1,6 +1,6 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpResponder
+import anvilslip.entry.http.HttpResponder
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
 import anvilslip.policy.SseEventBuffer
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -1,8 +1,8 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpHandler
-import anvilslip.entry.HttpResponder
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpServerRequest
 import anvilslip.kernel.Clock
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRefusal
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -1,8 +1,8 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpServer
-import anvilslip.entry.HttpServerOptions
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpServer
+import anvilslip.entry.http.HttpServerOptions
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.HybridClock
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
@@ -1,7 +1,7 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpHandler
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpHandler
 import kotlin.time.Duration
 
 /** Formats and protocols that a [Gateway] uses with operators, clients, backend servers and engines. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/MetricsHandler.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/MetricsHandler.kt
@@ -1,9 +1,9 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpHandler
-import anvilslip.entry.HttpResponder
-import anvilslip.entry.HttpResponse
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import anvilslip.kernel.Metrics
 
 /** Serves the metrics of this process over HTTP. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
@@ -1,8 +1,8 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpClientResponse
-import anvilslip.entry.HttpResponse
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpClientResponse
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import kotlin.time.Duration
 
 /** Reads and writes the headers of requests and responses, and creates the responses of the gateway itself. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -1,10 +1,10 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientException
-import anvilslip.entry.HttpClientRequest
-import anvilslip.entry.HttpClientResponse
-import anvilslip.entry.HttpResponse
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientException
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpClientResponse
+import anvilslip.entry.http.HttpResponse
 import anvilslip.kernel.Clock
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RequestStep
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -1,7 +1,7 @@
 package anvilslip.gateway
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpServer
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpServer
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.Metrics
 import anvilslip.kernel.SystemClock
--- a/standin/src/main/kotlin/anvilslip/standin/Announcer.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Announcer.kt
@@ -1,7 +1,7 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientRequest
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientRequest
 import kotlinx.coroutines.delay
 import java.io.IOException
 import kotlin.time.Duration.Companion.milliseconds
--- a/standin/src/main/kotlin/anvilslip/standin/BookingGenerator.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/BookingGenerator.kt
@@ -1,9 +1,9 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientException
-import anvilslip.entry.HttpClientRequest
-import anvilslip.entry.HttpResponse
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientException
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpResponse
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/standin/src/main/kotlin/anvilslip/standin/CallerResolver.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/CallerResolver.kt
@@ -1,7 +1,7 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientRequest
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientRequest
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
--- a/standin/src/main/kotlin/anvilslip/standin/EngineStandIn.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/EngineStandIn.kt
@@ -1,11 +1,11 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientRequest
-import anvilslip.entry.HttpHandler
-import anvilslip.entry.HttpResponder
-import anvilslip.entry.HttpResponse
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import anvilslip.policy.AdapterVersion
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
--- a/standin/src/main/kotlin/anvilslip/standin/LoadGenerator.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/LoadGenerator.kt
@@ -1,8 +1,8 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpClientRequest
-import anvilslip.entry.HttpClientResponse
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpClientRequest
+import anvilslip.entry.http.HttpClientResponse
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
--- a/standin/src/main/kotlin/anvilslip/standin/Main.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Main.kt
@@ -1,7 +1,7 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpClient
-import anvilslip.entry.HttpServer
+import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpServer
 import anvilslip.settings.Address
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
--- a/standin/src/main/kotlin/anvilslip/standin/WeightStoreStandIn.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/WeightStoreStandIn.kt
@@ -1,9 +1,9 @@
 package anvilslip.standin
 
-import anvilslip.entry.HttpHandler
-import anvilslip.entry.HttpResponder
-import anvilslip.entry.HttpResponse
-import anvilslip.entry.HttpServerRequest
+import anvilslip.entry.http.HttpHandler
+import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
+import anvilslip.entry.http.HttpServerRequest
 import kotlinx.coroutines.delay
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
