--- a/control/src/main/kotlin/anvilslip/control/LeaderService.kt
+++ b/control/src/main/kotlin/anvilslip/control/LeaderService.kt
@@ -17,7 +17,6 @@
 import anvilslip.state.Command
 import anvilslip.state.Replica
 import anvilslip.wire.PeerMessage
-import anvilslip.wire.SystemStatus
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -87,7 +86,7 @@
             is PeerMessage.NotLoaded -> onNotLoaded(leader, message)
             is PeerMessage.GrantRequest -> onGrant(leader, message)
             is PeerMessage.Propose -> onPropose(message)
-            is PeerMessage.StatusRequest -> PeerMessage.StatusReply(status(leader))
+            is PeerMessage.StatusRequest -> PeerMessage.StatusReply(systemStatus(leader, replica.view, clock.elapsed()))
             else -> PeerMessage.Failed("not a message for the leader")
         }
 
@@ -313,55 +312,6 @@
         return result.fold({ PeerMessage.ProposeReply(error = it) }, { PeerMessage.ProposeReply(outcome = it) })
     }
 
-    private fun status(leader: LeaderState): SystemStatus {
-        val now = clock.elapsed()
-        val view = replica.view
-        val inFlight = leader.placement.inFlight()
-        return SystemStatus(
-            leader = view.id.instance,
-            term = leader.term,
-            revision = view.state.configuration.revision,
-            instances = leader.allInstances.map { instanceStatus(it, now, view.state.configuration.draining.keys) },
-            backends = leader.allBackends.map { backendStatus(leader, it, inFlight[it.server] ?: 0) },
-            replicas = view.voters.map { it.instance }.sorted(),
-            queuedLoads = leader.placement.queuedLoads,
-            suspects =
-                view.state.suspects.values
-                    .toList(),
-            workspaces =
-                leader.buckets.workspaceNames.sorted().mapNotNull { name ->
-                    leader.buckets[name]?.let { SystemStatus.WorkspaceStatus(name, it.level, it.outstanding) }
-                },
-        )
-    }
-
-    private fun instanceStatus(
-        record: InstanceRecord,
-        now: Duration,
-        draining: Set<String>,
-    ) = SystemStatus.InstanceStatus(
-        name = record.view.name,
-        zone = record.view.zone,
-        address = record.view.address,
-        revision = record.revision,
-        draining = record.view.draining || record.view.name in draining,
-        silentMillis = (now - record.lastReportAt).inWholeMilliseconds,
-    )
-
-    private fun backendStatus(
-        leader: LeaderState,
-        server: Announcement,
-        inFlight: Int,
-    ) = SystemStatus.BackendStatus(
-        server = server.server,
-        serves = server.serves,
-        zone = server.zone,
-        inFlight = inFlight,
-        loaded = leader.placement.loadedOn(server.server).size,
-        slots = server.slots,
-        leaving = server.leaving,
-    )
-
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "leader"
