Split Placement into the queue of loads, the holders of adapters and the decisions

What concerns one server alone (whether it accepts a request, what that costs) went to ServerState. The refill of the start tokens is computed once for the overdue requests of a load instead of once for each.

--- a/policy/src/main/kotlin/anvilslip/policy/Placement.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Placement.kt
@@ -3,7 +3,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * Selects the server for each adapter request of all instances, and decides which adapters to load and evict. Runs on the leader
@@ -20,30 +19,19 @@
     now: Duration,
     hasPredecessor: Boolean = true,
 ) : PlacementPolicy {
-    private class PendingLoad(
-        val adapter: AdapterVersion,
-        val model: String,
-        var requestedAt: Duration,
-    ) {
-        val waiting = ArrayList<Pair<PlacementRequest, Duration>>()
-    }
-
     private val servers = LinkedHashMap<String, ServerState>()
-    private val pendingLoads = LinkedHashMap<AdapterVersion, PendingLoad>()
-    private val loadsInFlight = HashMap<Pair<String, AdapterVersion>, Duration>()
-    private val holders = HashMap<AdapterVersion, LinkedHashSet<ServerState>>()
+    private val holders = AdapterHolders()
     private val popularity = Popularity(options.popularityHalfLife)
     private val counters = VirtualTokenCounters()
+    private val loads = LoadQueue(options, counters, popularity, now)
     private val evictionAllowedAt = if (hasPredecessor) now + options.useLease else now
     private val settledAt = if (hasPredecessor) now + SETTLING_TIME else now
-    private var loadTokens = 1.0
-    private var loadTokensAt = now
     private var meanServiceTime = INITIAL_SERVICE_TIME
     private var leases = 0L
     private var output = PlacementOutput()
 
     /** Number of adapters waiting to be loaded. */
-    public val queuedLoads: Int get() = pendingLoads.size
+    public val queuedLoads: Int get() = loads.size
 
     /** Names of the known servers. */
     public val serverNames: Set<String> get() = servers.keys.toSet()
@@ -84,7 +72,7 @@
     public fun recordNotLoaded(
         server: String,
         adapter: AdapterVersion,
-    ): PlacementOutput = step { servers[server]?.let { removeHolder(it, adapter) } }
+    ): PlacementOutput = step { servers[server]?.let { holders.remove(it, adapter) } }
 
     /** Requests in flight from all instances, by server. */
     public fun inFlight(): Map<String, Int> = servers.mapValues { it.value.inFlight }
@@ -118,7 +106,7 @@
         now: Duration,
     ): PlacementOutput =
         step {
-            if (loadsInFlight.remove(server to adapter) != null) finishLoad(server, adapter, succeeded, now)
+            if (loads.finish(server, adapter)) finishLoad(server, adapter, succeeded, now)
             schedule(now)
         }
 
@@ -129,12 +117,7 @@
                 server.expire(now)
                 if (now - server.lastAnnouncedAt > options.announcementTimeout) removeServer(server, now)
             }
-            for ((load, startedAt) in loadsInFlight.toList()) {
-                if (now - startedAt > options.loadTimeout) {
-                    loadsInFlight.remove(load)
-                    finishLoad(load.first, load.second, false, now)
-                }
-            }
+            for ((server, adapter) in loads.removeTimedOut(now)) finishLoad(server, adapter, false, now)
             refuseOverdue(now)
             popularity.evictStale(now)
             schedule(now)
@@ -159,30 +142,13 @@
         request: PlacementRequest,
         now: Duration,
     ): ServerState? {
-        val candidates = holders[request.adapter].orEmpty().filter { accepts(it, request) }
-        val best = candidates.minByOrNull { cost(it, request) } ?: return null
+        val candidates = holders.of(request.adapter).filter { it.accepts(request) }
+        val best = candidates.minByOrNull { it.costOf(request) } ?: return null
         val wait = queueWait(best, request)
-        if (best.inFlight - best.announcement.batch >= options.copyQueue) requestCopy(request, now)
+        if (best.inFlight - best.announcement.batch >= options.copyQueue) loads.request(request, now)
         return best.takeIf { now + wait <= request.deadline }
     }
 
-    private fun accepts(
-        server: ServerState,
-        request: PlacementRequest,
-    ): Boolean {
-        val isSeparate = server.suspects.keys.none { it != request.suspect }
-        val mayRun = request.suspect == null || isSeparate
-        return !server.announcement.leaving && server.name !in request.exclude && mayRun
-    }
-
-    private fun cost(
-        server: ServerState,
-        request: PlacementRequest,
-    ): Double {
-        val away = if (request.zone != null && request.zone != server.announcement.zone) OTHER_ZONE_COST else 0.0
-        return server.batchLoad + away
-    }
-
     /** Estimated wait for a slot in the batch of [server], shorter for workspaces that used less than their fair share. */
     private fun queueWait(
         server: ServerState,
@@ -209,8 +175,8 @@
         request: PlacementRequest,
         now: Duration,
     ) {
-        val usable = servers.values.filter { it.announcement.serves == request.model && accepts(it, request) }
-        val holds = holders[request.adapter].orEmpty().any { accepts(it, request) }
+        val usable = servers.values.filter { it.announcement.serves == request.model && it.accepts(request) }
+        val holds = holders.of(request.adapter).any { it.accepts(request) }
         when {
             usable.isEmpty() -> refuse(request, if (now < settledAt) RefusalReason.STARTING else RefusalReason.NO_SERVER, NO_SERVER_RETRY)
             holds -> refuse(request, RefusalReason.OVERLOADED, meanServiceTime)
@@ -222,9 +188,8 @@
         request: PlacementRequest,
         now: Duration,
     ) {
-        val load = pendingLoads.getOrPut(request.adapter) { PendingLoad(request.adapter, request.model, now) }
-        load.requestedAt = now
-        val wait = loadWait(load, now)
+        val load = loads.request(request, now)
+        val wait = loads.waitFor(load, now)
         if (now + wait > request.deadline) {
             refuse(request, RefusalReason.LOAD_TOO_SLOW, wait)
         } else {
@@ -232,20 +197,6 @@
         }
     }
 
-    /** Estimated time until [load] finishes, behind the loads queued ahead of it. */
-    private fun loadWait(
-        load: PendingLoad,
-        now: Duration,
-    ): Duration {
-        if (isLoading(load.adapter)) return options.loadTime
-        val ahead = pendingLoads.values.count { it !== load && it.waiting.isNotEmpty() && !isLoading(it.adapter) }
-        val availableTokens = refilledLoadTokens(now)
-        val queueDelay = maxOf(0.0, ahead + 1 - availableTokens) / options.loadsPerSecond
-        return queueDelay.seconds + options.loadTime
-    }
-
-    private fun isLoading(adapter: AdapterVersion) = loadsInFlight.keys.any { it.second == adapter }
-
     private fun refuse(
         request: PlacementRequest,
         reason: RefusalReason,
@@ -255,48 +206,32 @@
         answer(request, PlacementDecision.Refused(reason, after.inWholeMilliseconds))
     }
 
-    private fun requestCopy(
-        request: PlacementRequest,
-        now: Duration,
-    ) {
-        pendingLoads.getOrPut(request.adapter) { PendingLoad(request.adapter, request.model, now) }.requestedAt = now
-    }
-
     private fun refuseOverdue(now: Duration) {
-        for (load in pendingLoads.values) {
-            val overdue = load.waiting.filter { now > it.first.deadline }
-            load.waiting.removeAll(overdue)
-            for ((request, _) in overdue) refuse(request, RefusalReason.LOAD_TOO_SLOW, loadWait(load, now))
+        for (load in loads.pending) {
+            val overdue = load.removeWaiting { now > it.deadline }
+            if (overdue.isNotEmpty()) refuseAll(overdue, RefusalReason.LOAD_TOO_SLOW, loads.waitFor(load, now))
         }
-        pendingLoads.values.removeAll { it.waiting.isEmpty() && now - it.requestedAt > options.pendingLoadRetention }
+        loads.removeUnneeded(now)
     }
 
-    private fun refilledLoadTokens(now: Duration): Double {
-        loadTokens = minOf(LOAD_BURST, loadTokens + options.loadsPerSecond * (now - loadTokensAt).toDouble(DurationUnit.SECONDS))
-        loadTokensAt = now
-        return loadTokens
+    private fun refuseAll(
+        requests: List<PlacementRequest>,
+        reason: RefusalReason,
+        retryAfter: Duration,
+    ) {
+        for (request in requests) refuse(request, reason, retryAfter)
     }
 
     /** Starts loads in order of urgency, as far as the limits of the weight store allow. */
     private fun schedule(now: Duration) {
-        while (refilledLoadTokens(now) >= 1.0 && loadsInFlight.size < options.maxLoadsInFlight) {
+        while (loads.mayStart(now)) {
             val next = nextLoad(now) ?: return
             startLoad(next.first, next.second, now)
         }
     }
 
-    private fun nextLoad(now: Duration): Pair<PendingLoad, ServerState>? {
-        val waiting = pendingLoads.values.filter { !isLoading(it.adapter) }
-        val ordered = waiting.sortedWith(compareBy({ it.waiting.isEmpty() }, ::urgency, { -popularity.scoreOf(it.adapter, now) }))
-        return ordered.firstNotNullOfOrNull { load -> chooseTarget(load, now)?.let { load to it } }
-    }
-
-    /** Sort key of a load: its earliest deadline plus a delay proportional to the lowest usage share of its waiting workspaces. */
-    private fun urgency(load: PendingLoad): Double {
-        val first = load.waiting.minByOrNull { counters.shareOf(it.first.workspace) } ?: return Double.MAX_VALUE
-        val deadline = load.waiting.minOf { it.first.deadline }
-        return deadline.toDouble(DurationUnit.SECONDS) + counters.shareOf(first.first.workspace) * FAIRNESS_SECONDS
-    }
+    private fun nextLoad(now: Duration): Pair<PendingLoad, ServerState>? =
+        loads.byUrgency(now).firstNotNullOfOrNull { load -> chooseTarget(load, now)?.let { load to it } }
 
     private fun chooseTarget(
         load: PendingLoad,
@@ -321,7 +256,7 @@
     ): AdapterVersion? {
         if (now < evictionAllowedAt) return null
         val idle = server.loaded.filter { !server.isUsed(it) }
-        val candidate = idle.minByOrNull { popularity.scoreOf(it, now) / holders[it].orEmpty().size.coerceAtLeast(1) } ?: return null
+        val candidate = idle.minByOrNull { popularity.scoreOf(it, now) / holders.of(it).size.coerceAtLeast(1) } ?: return null
         val needed =
             load.waiting.isNotEmpty() || popularity.scoreOf(load.adapter, now) > popularity.scoreOf(candidate, now) * EVICTION_MARGIN
         return candidate.takeIf { needed }
@@ -335,11 +270,10 @@
         val evicted = if (server.freeSlots > 0) null else checkNotNull(evictionCandidate(server, load, now))
         if (evicted != null) {
             check(!server.isUsed(evicted)) { "adapter $evicted chosen for eviction is in use on server ${server.name}" }
-            removeHolder(server, evicted)
+            holders.remove(server, evicted)
         }
-        loadTokens -= 1.0
         server.loading = load.adapter
-        loadsInFlight[server.name to load.adapter] = now
+        loads.start(server.name, load.adapter, now)
         output = output.copy(orders = output.orders + Order.Load(server.name, load.adapter, evicted))
     }
 
@@ -355,14 +289,10 @@
             refuseAfterFailedLoad(adapter, now)
             return
         }
-        addHolder(server, adapter, now)
-        val load = pendingLoads.remove(adapter) ?: return
+        holders.add(server, adapter, now)
+        val load = loads.remove(adapter) ?: return
         for ((request, askedAt) in load.waiting) {
-            if (accepts(
-                    server,
-                    request,
-                )
-            ) {
+            if (server.accepts(request)) {
                 placeOn(server, request, now - askedAt, now)
             } else {
                 refuse(request, RefusalReason.OVERLOADED, meanServiceTime)
@@ -375,10 +305,9 @@
         adapter: AdapterVersion,
         now: Duration,
     ) {
-        val load = pendingLoads[adapter] ?: return
-        val overdue = load.waiting.filter { now + options.loadTime > it.first.deadline }
-        load.waiting.removeAll(overdue)
-        for ((request, _) in overdue) refuse(request, RefusalReason.LOAD_FAILED, options.loadTime)
+        val load = loads[adapter] ?: return
+        val overdue = load.removeWaiting { now + options.loadTime > it.deadline }
+        refuseAll(overdue, RefusalReason.LOAD_FAILED, options.loadTime)
     }
 
     /** Aligns the recorded adapters with those announced by the server, except for recent changes that it may not have announced yet. */
@@ -387,39 +316,20 @@
         now: Duration,
     ) {
         val reported = server.announcement.loaded.toSet()
-        for (adapter in reported - server.loaded) if (server.loading != adapter && server.freeSlots > 0) addHolder(server, adapter, now)
+        for (adapter in reported - server.loaded) if (server.loading != adapter && server.freeSlots > 0) holders.add(server, adapter, now)
         val missing = server.loadedSince.filter { (adapter, since) -> adapter !in reported && now - since > REPORT_LAG }.keys
-        for (adapter in missing) removeHolder(server, adapter)
-    }
-
-    private fun addHolder(
-        server: ServerState,
-        adapter: AdapterVersion,
-        now: Duration,
-    ) {
-        server.loadedSince[adapter] = now
-        holders.getOrPut(adapter) { LinkedHashSet() } += server
-    }
-
-    private fun removeHolder(
-        server: ServerState,
-        adapter: AdapterVersion,
-    ) {
-        server.loadedSince -= adapter
-        val set = holders[adapter] ?: return
-        set -= server
-        if (set.isEmpty()) holders -= adapter
+        for (adapter in missing) holders.remove(server, adapter)
     }
 
     private fun removeServer(
         server: ServerState,
         now: Duration,
     ) {
-        for (adapter in server.loaded.toList()) removeHolder(server, adapter)
+        for (adapter in server.loaded.toList()) holders.remove(server, adapter)
         servers -= server.name
         output = output.copy(lostServers = output.lostServers + server.name)
         val loading = server.loading ?: return
-        loadsInFlight.remove(server.name to loading)
+        loads.finish(server.name, loading)
         refuseAfterFailedLoad(loading, now)
     }
 
@@ -431,9 +341,6 @@
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 30.seconds
         const val SERVICE_TIME_WEIGHT = 0.05
-        const val OTHER_ZONE_COST = 0.1
-        const val LOAD_BURST = 2.0
-        const val FAIRNESS_SECONDS = 1.0
         const val EVICTION_COST = 0.05
         const val EVICTION_MARGIN = 2.0
     }
--- a/policy/src/main/kotlin/anvilslip/policy/ServerState.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerState.kt
@@ -85,4 +85,21 @@
     }
 
     fun isUsed(adapter: AdapterVersion): Boolean = uses[adapter].orEmpty().isNotEmpty() || (announcement.running[adapter] ?: 0) > 0
+
+    /** Returns true if [request] may run here: not on a leaving or excluded server, and suspects only apart from other suspects. */
+    fun accepts(request: PlacementRequest): Boolean {
+        val isSeparate = suspects.keys.none { it != request.suspect }
+        val mayRun = request.suspect == null || isSeparate
+        return !announcement.leaving && name !in request.exclude && mayRun
+    }
+
+    /** Cost of running [request] here, relative to other servers: the batch load, and more in another zone. */
+    fun costOf(request: PlacementRequest): Double {
+        val away = if (request.zone != null && request.zone != announcement.zone) OTHER_ZONE_COST else 0.0
+        return batchLoad + away
+    }
+
+    private companion object {
+        const val OTHER_ZONE_COST = 0.1
+    }
 }
