Record the end of requests also while the leader's lease has lapsed

Cause: the progress that entry instances report was dropped while the lease had lapsed. Since the state is kept now, requests that ended in such a moment are taken to be running until a second after their deadline, their prompts as not processed, and others are refused for it. Before, each lapse emptied the state instead, which forgot the debts. A report is no decision, so it may be recorded without a lease; a later term discards the state anyway.

Ruled out: requests that another leader let run (it would have a later term).

LeaderDispatch and WatchResponder take a function that returns the view of the replica, so that a test can let a lease lapse.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -118,12 +118,12 @@
 
     private fun installControl(): PeerHandler {
         val replica = kernel.install(replica())
-        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica, clock)
+        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
         val dispatch =
             kernel.install(
-                LeaderDispatch(replica, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
+                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
             )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -12,7 +12,7 @@
 import anvilslip.policy.LoadOrder
 import anvilslip.policy.ModelOrder
 import anvilslip.policy.ServerReport
-import anvilslip.state.Replica
+import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -31,7 +31,7 @@
 
 /** Runs a [Dispatcher] while this instance is the leader, and sends the orders that it issues to the engines. */
 public class LeaderDispatch(
-    private val replica: Replica,
+    private val replicaView: () -> ReplicaView,
     private val clusterView: ClusterView,
     private val watchResponder: WatchResponder,
     private val engineClient: EngineClient,
@@ -62,6 +62,10 @@
     @Volatile
     private var lastLeader: String? = null
 
+    /** Number of requests that this instance, as the leader of the current term, believes to be running. */
+    internal val runningRequests: Int
+        get() = termState.find(replicaView().term)?.let { synchronized(lock) { it.dispatcher.runningRequests } } ?: 0
+
     override suspend fun start() {
         scope.launch {
             while (true) {
@@ -114,16 +118,16 @@
         return PeerMessage.AdmitReply(term.number, refusal)
     }
 
-    /** Records the progress of requests that an entry instance reports. */
+    /** Records the progress of requests that an entry instance reports, also while the lease of the current term has lapsed. */
     public fun recordProgress(message: PeerMessage.Progress) {
-        val term = currentTerm() ?: return
+        val term = currentTerm() ?: termState.find(replicaView().term) ?: return
         synchronized(lock) {
             term.dispatcher.restoreRequests(message.entry, message.running, clock.elapsed())
             term.dispatcher.applyEvents(message.entry, message.events, clock.elapsed())
         }
     }
 
-    private fun notLeader() = PeerMessage.NotLeader(replica.view.leader?.instance)
+    private fun notLeader() = PeerMessage.NotLeader(replicaView().leader?.instance)
 
     private fun decide(
         term: LeaderTerm,
@@ -138,7 +142,7 @@
 
     /** Returns the state of the current term, created now if this instance has just been elected; null if it does not lead. */
     private fun currentTerm(): LeaderTerm? {
-        val view = replica.view
+        val view = replicaView()
         val isLeading = view.isLeading(clock.elapsed())
         if (wasLeading.getAndSet(isLeading) != isLeading) {
             log.info(if (isLeading) "leading_began" else "leading_ended", "term" to view.term)
@@ -167,10 +171,10 @@
     private fun tick() {
         val term = currentTerm()
         if (term == null) {
-            replica.view.leader?.let { lastLeader = it.instance }
+            replicaView().leader?.let { lastLeader = it.instance }
             return
         }
-        lastLeader = replica.view.id.instance
+        lastLeader = replicaView().id.instance
         val now = clock.elapsed()
         takeOverOrders(term, now)
         val due =
@@ -213,7 +217,7 @@
         term: LeaderTerm,
         now: Duration,
     ) {
-        if (term.canSendOrders || !handover.isComplete(replica.view, term.previousLeader, now - term.electedAt)) return
+        if (term.canSendOrders || !handover.isComplete(replicaView(), term.previousLeader, now - term.electedAt)) return
         term.canSendOrders = true
         log.info("orders_taken_over", "term" to term.number, "previous" to term.previousLeader, "after" to (now - term.electedAt))
         synchronized(lock) { term.dispatcher.allowOrders() }
@@ -286,7 +290,7 @@
         term: LeaderTerm,
         order: EngineOrder,
     ): OrderReply {
-        val view = replica.view
+        val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
         val reply = engineClient.sendOrder(order, term.number)
         log.info(
--- a/gateway/src/main/kotlin/anvilslip/gateway/TermState.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/TermState.kt
@@ -18,9 +18,10 @@
         term: Long,
         create: () -> T,
     ): T {
-        entry?.takeIf { it.term == term }?.let { return it.state }
-        return synchronized(this) {
-            (entry?.takeIf { it.term == term } ?: Entry(term, create()).also { entry = it }).state
-        }
+        find(term)?.let { return it }
+        return synchronized(this) { find(term) ?: create().also { entry = Entry(term, it) } }
     }
+
+    /** Returns the state of [term], or null if this instance has not led in it. */
+    fun find(term: Long): T? = entry?.takeIf { it.term == term }?.state
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -3,7 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.policy.EntryInstance
 import anvilslip.policy.EntryTracker
-import anvilslip.state.Replica
+import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
@@ -15,7 +15,7 @@
     private val host: String,
     private val incarnation: String,
     private val clusterView: ClusterView,
-    private val replica: Replica,
+    private val replicaView: () -> ReplicaView,
     private val clock: Clock,
 ) {
     private val entries = EntryTracker(clock.elapsed())
@@ -62,7 +62,7 @@
         val since = if (isNewIncarnation) 0 else watch.fleetRevision
         val update = clusterView.fleetUpdateSince(since, directOnly = !isNewIncarnation && watch.entry == null)
         val active = clusterView.active
-        val view = replica.view
+        val view = replicaView()
         return PeerMessage.WatchReply(
             incarnation = incarnation,
             fleetRevision = update.revision,
@@ -81,7 +81,7 @@
     private fun controlHosts(): Set<String> {
         val now = clock.elapsed()
         val recent = controlsSeenAt.filterValues { now - it < CONTROL_RETENTION }.keys
-        return recent + replica.view.voters.map { it.instance } + host
+        return recent + replicaView().voters.map { it.instance } + host
     }
 
     private companion object {
