Withdraw requests that are refused because the leader did not answer in time

Nobody tells the leader, so that it takes the request to be running until a second after its deadline, and its prompt as not processed. Callers see refusals for servers that are idle. The request is admitted anew every time it is tried again without a leader, so one request can count several times.

The entry instance now reports such a request as ended. A request that the entry instance then sends itself keeps its place at the leader: its end is reported as before. Left: a report that overtakes an admission still waiting for an order is lost; the request then counts until its deadline, as before.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -9,12 +9,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Asks the leader to admit requests, and decides locally with [LocalDispatch] while no leader answers. */
+/**
+ * Asks the leader to admit requests, and decides locally with [LocalDispatch] while no leader answers.
+ *
+ * @param withdraw reports that the request with this number has ended, to a leader that may have admitted it without an answer in time
+ */
 public class AdmissionClient(
     private val peers: PeerCaller,
     private val clusterView: ClusterView,
     private val local: LocalDispatch,
     private val clock: Clock,
+    private val withdraw: (Long) -> Unit,
 ) {
     /** A decision, with the term of the leader that made it. */
     public data class Result(
@@ -33,14 +38,20 @@
 
     /** Returns the leader's decision on [request], or a local one if the leader cannot be reached. */
     public suspend fun admit(request: DispatchRequest): Result {
-        val answer = askLeader(request)
+        val leader = clusterView.leader.host.takeIf { clock.elapsed() >= leaderAvoidedUntil }
+        val answer = leader?.let { askLeader(it, request) }
         logLeaderAvailability(answer != null)
-        return answer ?: Result(local.decide(request, clock.elapsed()), null)
+        if (answer != null) return answer
+        val decision = local.decide(request, clock.elapsed())
+        if (leader != null && decision is DispatchDecision.Refuse) withdraw(request.number)
+        return Result(decision, null)
     }
 
-    private suspend fun askLeader(request: DispatchRequest): Result? {
-        var leader = clusterView.leader.host ?: return null
-        if (clock.elapsed() < leaderAvoidedUntil) return null
+    private suspend fun askLeader(
+        knownLeader: String,
+        request: DispatchRequest,
+    ): Result? {
+        var leader = knownLeader
         for (attempt in 1..MAX_ATTEMPTS) {
             val result = peers.call(leader, PeerMessage.Admit(request), ANSWER_TIMEOUT)
             val reply = result.getOrNull()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -11,6 +11,7 @@
 import anvilslip.kernel.SystemClock
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.EntryInstance
+import anvilslip.policy.RequestStep
 import anvilslip.policy.RetryBudget
 import anvilslip.settings.Address
 import anvilslip.settings.GatewaySettings
@@ -167,7 +168,7 @@
     private fun installEntry(address: Address) {
         val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
         val local = LocalDispatch(clusterView, progress::countRunning)
-        val admissionClient = AdmissionClient(network::call, clusterView, local, clock)
+        val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
         val sender = RequestSender(client, dialects.requests, progress, clock)
         val clientHandler =
             Forwarder(
--- /dev/null
+++ b/gateway/src/test/kotlin/anvilslip/gateway/AdmissionClientSpec.kt
@@ -0,0 +1,68 @@
+package anvilslip.gateway
+
+import anvilslip.kernel.Clock
+import anvilslip.policy.DispatchDecision
+import anvilslip.policy.DispatchRequest
+import anvilslip.policy.ServingConfiguration
+import anvilslip.wire.PeerError
+import anvilslip.wire.PeerMessage
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class AdmissionClientSpec :
+    DescribeSpec({
+        val clock =
+            object : Clock {
+                override fun now(): Instant = Instant.fromEpochMilliseconds(0)
+
+                override fun elapsed(): Duration = 10.seconds
+            }
+        val request = DispatchRequest("e", 7, "app", null, 0, "z1", targetMillis = 1000, remainingMillis = 5000)
+        val send = DispatchDecision.Send("a", "a:80")
+
+        /** An entry instance that knows no server, so that its own decisions are refusals. */
+        fun client(
+            withdrawn: MutableList<Long>,
+            answer: Either<PeerError, PeerMessage>,
+        ): AdmissionClient {
+            val view = ClusterView({ ServingConfiguration(1).right() }, clock, emptySet(), heartbeat = 1.seconds)
+            view.observeLeader("c", 3)
+            return AdmissionClient({ _, _, _ -> answer }, view, LocalDispatch(view) { 0 }, clock, withdrawn::add)
+        }
+
+        describe("a request that was refused because the leader did not answer in time") {
+            it("is withdrawn, since the leader may have admitted it meanwhile") {
+                val withdrawn = ArrayList<Long>()
+                val result = client(withdrawn, PeerError.NoAnswer("c").left()).admit(request)
+                result.decision.shouldBeInstanceOf<DispatchDecision.Refuse>()
+                withdrawn shouldContainExactly listOf(7L)
+            }
+
+            it("is not withdrawn if the leader was not asked") {
+                val withdrawn = ArrayList<Long>()
+                val client = client(withdrawn, PeerError.NoAnswer("c").left())
+                client.admit(request)
+                client.admit(request.copy(number = 8))
+                withdrawn shouldContainExactly listOf(7L)
+            }
+        }
+
+        describe("a request that the leader admitted") {
+            it("is not withdrawn") {
+                val withdrawn = ArrayList<Long>()
+                client(
+                    withdrawn,
+                    PeerMessage.AdmitReply(3, send).right(),
+                ).admit(request).decision.shouldBeInstanceOf<DispatchDecision.Send>()
+                withdrawn.shouldBeEmpty()
+            }
+        }
+    })
--- a/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
@@ -68,7 +68,7 @@
     ) {
         val view = ClusterView({ configuration.right() }, clock, controls.map { it.host }.toSet(), HEARTBEAT)
         val local = LocalDispatch(view) { 0 }
-        val admission = AdmissionClient({ peer, message, timeout -> call(this, peer, message, timeout) }, view, local, clock)
+        val admission = AdmissionClient({ peer, message, timeout -> call(this, peer, message, timeout) }, view, local, clock, ::reportEnded)
         var isReady = true
 
         /** True while this instance reaches no control instance. */
@@ -88,7 +88,18 @@
             delay(decision.holdMillis)
             sent += Sent(clock.elapsed(), tokens)
             delay(WORK)
-            leader?.dispatcher?.applyEvents(host, listOf(RequestEvent(request.number, RequestStep.ENDED)), clock.elapsed())
+            reportEnded(request.number)
+        }
+
+        private fun reportEnded(number: Long) {
+            val event = RequestEvent(number, RequestStep.ENDED)
+            leader?.let {
+                scope.launch {
+                    delay(it.answerTime).also { _ ->
+                        it.dispatcher?.applyEvents(host, listOf(event), clock.elapsed())
+                    }
+                }
+            }
         }
     }
 
