--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -49,7 +49,7 @@
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
         var fleetRevision = -1L
-        var limitsLoggedAt = electedAt
+        var beliefsLoggedAt = electedAt
     }
 
     override val name: String = NAME
@@ -185,7 +185,7 @@
                 term.dispatcher.setLimitShare(watchResponder.reachableShare(), now)
                 term.dispatcher.enginesToQuery(now)
             }
-        logLimits(term, now)
+        logBeliefs(term, now)
         for (server in due) scope.launch { queryInventory(term, server) }
         while (true) {
             val order = synchronized(lock) { term.dispatcher.nextModelOrder(now) } ?: break
@@ -193,12 +193,14 @@
         }
     }
 
-    private fun logLimits(
+    /** Logs what this leader believes to be running and what it has granted of each limit. */
+    private fun logBeliefs(
         term: LeaderTerm,
         now: Duration,
     ) {
-        if (now - term.limitsLoggedAt < LIMIT_LOG_INTERVAL) return
-        term.limitsLoggedAt = now
+        if (now - term.beliefsLoggedAt < BELIEF_LOG_INTERVAL) return
+        term.beliefsLoggedAt = now
+        log.info("requests_believed_running", "count" to runningRequests, "term" to term.number)
         for (usage in synchronized(lock) { term.dispatcher.takeLimitUsage() }) {
             log.info(
                 "limit_granted",
@@ -315,7 +317,7 @@
         /** Name in the service registry. */
         public const val NAME: String = "dispatch"
         private val TICK_INTERVAL = 100.milliseconds
-        private val LIMIT_LOG_INTERVAL = 500.milliseconds
+        private val BELIEF_LOG_INTERVAL = 500.milliseconds
         private val ORDER_POLL = 5.milliseconds
         private const val MAX_LOADS = 3
 
