--- a/gateway/src/test/kotlin/anvilslip/gateway/AdmissionClientSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/AdmissionClientSpec.kt
@@ -1,6 +1,5 @@
 package anvilslip.gateway
 
-import anvilslip.kernel.Clock
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.ServingConfiguration
@@ -13,18 +12,11 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.types.shouldBeInstanceOf
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class AdmissionClientSpec :
     DescribeSpec({
-        val clock =
-            object : Clock {
-                override fun now(): Instant = Instant.fromEpochMilliseconds(0)
-
-                override fun elapsed(): Duration = 10.seconds
-            }
+        val clock = TestClock(10.seconds)
         val request = DispatchRequest("e", 7, "app", null, 0, "z1", targetMillis = 1000, remainingMillis = 5000)
         val send = DispatchDecision.Send("a", "a:80")
 
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -1,11 +1,9 @@
 package anvilslip.gateway
 
-import anvilslip.kernel.Clock
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.DispatchRequest
-import anvilslip.policy.EngineInventory
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerPhase
@@ -23,31 +21,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 class LeaderDispatchSpec :
     DescribeSpec({
-        val clock =
-            object : Clock {
-                var time = 10.seconds
-
-                override fun now(): Instant = Instant.fromEpochMilliseconds(time.inWholeMilliseconds)
-
-                override fun elapsed(): Duration = time
-            }
+        val clock = TestClock(10.seconds)
         val configuration = ServingConfiguration(1, services = mapOf("app" to BackendService("app", 100)))
-        val engines =
-            object : EngineClient {
-                override suspend fun queryInventory(
-                    server: String,
-                    address: String,
-                ): EngineInventory? = null
-
-                override suspend fun sendOrder(
-                    order: EngineOrder,
-                    fencingToken: Long,
-                ): OrderReply = OrderReply.REFUSED
-            }
 
         /** A leader whose lease ends at the time that [leaseUntil] returns. */
         fun leader(leaseUntil: () -> Duration): LeaderDispatch {
@@ -56,7 +34,15 @@
             clusterView.applyDocument(ConfigurationDocument(1, "text"))
             clusterView.recordReport(ServerReport("a", "app", "a:80", "z1", ServerPhase.READY, 1, 1, slots = 10), direct = true)
             val watches = WatchResponder("c", "x", clusterView, view, clock)
-            return LeaderDispatch(view, clusterView, watches, engines, DispatchOptions(), OrderHandover(Duration.ZERO, false), clock)
+            return LeaderDispatch(
+                view,
+                clusterView,
+                watches,
+                ScriptedEngineClient(),
+                DispatchOptions(),
+                OrderHandover(Duration.ZERO, false),
+                clock,
+            )
         }
 
         fun request(number: Long) = DispatchRequest("e", number, "app", null, 0, "z1", targetMillis = 1000, remainingMillis = 5000)
--- a/gateway/src/test/kotlin/anvilslip/gateway/RetryingEngineClientSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/RetryingEngineClientSpec.kt
@@ -1,32 +1,10 @@
 package anvilslip.gateway
 
-import anvilslip.policy.EngineInventory
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 
 class RetryingEngineClientSpec :
     DescribeSpec({
-        /** An engine that answers successive orders with [replies]. */
-        class ScriptedEngineClient(
-            vararg replies: OrderReply,
-        ) : EngineClient {
-            val replies = ArrayDeque(replies.toList())
-            val sentOrders = ArrayList<EngineOrder>()
-
-            override suspend fun queryInventory(
-                server: String,
-                address: String,
-            ): EngineInventory? = null
-
-            override suspend fun sendOrder(
-                order: EngineOrder,
-                fencingToken: Long,
-            ): OrderReply {
-                sentOrders += order
-                return replies.removeFirst()
-            }
-        }
-
         val load = EngineOrder("s", "s:80", isLoad = true, model = "m", adapter = "a", version = null, expectedOrders = 4)
 
         suspend fun ScriptedEngineClient.order(order: EngineOrder = load) = RetryingEngineClient(this).sendOrder(order, 1)
--- /dev/null
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ScriptedEngineClient.kt
@@ -0,0 +1,24 @@
+package anvilslip.gateway
+
+import anvilslip.policy.EngineInventory
+
+/** An engine that answers successive orders with [replies]. */
+internal class ScriptedEngineClient(
+    vararg replies: OrderReply,
+) : EngineClient {
+    val replies = ArrayDeque(replies.toList())
+    val sentOrders = ArrayList<EngineOrder>()
+
+    override suspend fun queryInventory(
+        server: String,
+        address: String,
+    ): EngineInventory? = null
+
+    override suspend fun sendOrder(
+        order: EngineOrder,
+        fencingToken: Long,
+    ): OrderReply {
+        sentOrders += order
+        return replies.removeFirst()
+    }
+}
