--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -201,6 +201,7 @@
         if (now - term.beliefsLoggedAt < BELIEF_LOG_INTERVAL) return
         term.beliefsLoggedAt = now
         log.info("requests_believed_running", "count" to runningRequests, "term" to term.number)
+        val entries = watchResponder.entryCounts()
         for (usage in synchronized(lock) { term.dispatcher.takeLimitUsage() }) {
             log.info(
                 "limit_granted",
@@ -210,7 +211,7 @@
                 "refunded" to usage.refunded,
                 "level" to usage.level.toLong(),
                 "rate" to usage.rate.toLong(),
-                "entries" to watchResponder.entryCounts(),
+                "entries" to entries,
             )
         }
     }
