--- a/entry/src/main/kotlin/anvilslip/entry/completion/CompletionPlacer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionPlacer.kt
@@ -53,14 +53,13 @@
     ): Either<ApiError, String> {
         val admitted = execution.admitted
         val wait = (admitted.waitDeadline - clock.elapsed()).coerceAtLeast(Duration.ZERO)
-        val tokens = execution.tokens
         val decision =
             control.requestPlacement(
                 admitted.workspace,
                 execution.adapter.model,
                 execution.version,
                 wait,
-                tokens,
+                execution.tokens,
                 execution.failedServers,
                 suspect,
             )
--- a/entry/src/main/kotlin/anvilslip/entry/completion/CompletionSender.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionSender.kt
@@ -208,13 +208,8 @@
         execution.failedServers += server.server
         execution.crashes++
         reportCrash(server)
-        return if (execution.crashes >=
-            MAX_CRASHES
-        ) {
-            CompletionAttempt.Failed(quarantinedError().copy(ran = Ran.OUTCOME_UNKNOWN))
-        } else {
-            failOver(execution)
-        }
+        if (execution.crashes < MAX_CRASHES) return failOver(execution)
+        return CompletionAttempt.Failed(quarantinedError().copy(ran = Ran.OUTCOME_UNKNOWN))
     }
 
     /** Fails over to another server only if no part was emitted, since parts that the caller has received cannot be revoked. */
@@ -228,12 +223,7 @@
         message: String,
     ): ApiError {
         timeline.record(EventKind.REQUEST_RETRIED, execution.admitted.requestId, cause = message)
-        return ApiError(
-            ErrorCode.BACKEND_FAILED,
-            message,
-            execution.ran,
-            RETRY_AFTER_FAILURE,
-        )
+        return ApiError(ErrorCode.BACKEND_FAILED, message, execution.ran, RETRY_AFTER_FAILURE)
     }
 
     /** Records all requests that were running on [server] when it crashed as suspects, before any of them is retried elsewhere. */
--- a/entry/src/main/kotlin/anvilslip/entry/completion/CompletionService.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/CompletionService.kt
@@ -73,10 +73,8 @@
         action: suspend (Reservation) -> ApiError?,
     ): ApiError? = reserve(execution).fold({ it }, { action(it) })
 
-    private suspend fun reserve(execution: CompletionExecution): Either<ApiError, Reservation> {
-        val tokens = execution.tokens
-        return control.reserve(execution.admitted.workspace, tokens).mapLeft(::tokenError)
-    }
+    private suspend fun reserve(execution: CompletionExecution): Either<ApiError, Reservation> =
+        control.reserve(execution.admitted.workspace, execution.tokens).mapLeft(::tokenError)
 
     private suspend fun runAttempts(
         execution: CompletionExecution,
--- a/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/SimulatedCluster.kt
@@ -92,13 +92,10 @@
         }
 
         private fun reportEnded(number: Long) {
-            val event = RequestEvent(number, RequestStep.ENDED)
-            leader?.let {
-                scope.launch {
-                    delay(it.answerTime).also { _ ->
-                        it.dispatcher?.applyEvents(host, listOf(event), clock.elapsed())
-                    }
-                }
+            val reportedTo = leader ?: return
+            scope.launch {
+                delay(reportedTo.answerTime)
+                reportedTo.dispatcher?.applyEvents(host, listOf(RequestEvent(number, RequestStep.ENDED)), clock.elapsed())
             }
         }
     }
