Log a fingerprint of each request that its repeats share

Of the requests that crash servers, the logs named attempts only, so whether the same entry instance sends on what it has seen break could not be told from whether others do.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -17,6 +17,8 @@
     val startedAt: Duration,
     val deadline: Duration,
 ) {
+    /** Equal for all repeats of this request, on every instance. */
+    val fingerprint: String by lazy { fingerprintOf(request, workspace) }
     val events = SseEventBuffer(request.lastEventId?.toLongOrNull())
     val excludedServers = HashSet<String>()
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -52,7 +52,14 @@
         exchange: Exchange,
         decision: DispatchDecision.Send,
         reason: String,
-    ): Unit = log.info(event, "request_id" to exchange.request.attemptId, "server" to decision.server, "reason" to reason)
+    ): Unit =
+        log.info(
+            event,
+            "request_id" to exchange.request.attemptId,
+            "fingerprint" to exchange.fingerprint,
+            "server" to decision.server,
+            "reason" to reason,
+        )
 
     /** Records how a request ended. */
     fun recordOutcome(
@@ -68,6 +75,7 @@
         log.info(
             "finished",
             "request_id" to exchange.request.attemptId,
+            "fingerprint" to exchange.fingerprint,
             "route" to exchange.route.name,
             "service" to exchange.service,
             "workspace" to exchange.workspace?.name,
