Quarantine requests under which three servers have crashed, on all instances

Cause: an entry instance forgets a request with its exchange, and nobody else is told.

Change: when an exchange breaks, the instance asks whether the server still accepts connections. A refusal means that the process ended; a garbled, truncated or reset answer, a cut and a server that is leaving do not count. A suspect that is served is cleared everywhere; the leader places suspects on different servers; after three crashes a request is refused at once with 503, not run, and no time to come back, and is checked again right before it is sent.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.channel.socket.SocketChannel
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
@@ -108,6 +110,15 @@
         }
     }
 
+    /** Returns true if [address] refuses connections, as it does after the process that listened there has ended. */
+    public suspend fun isRefused(address: String): Boolean =
+        try {
+            connect(address).close()
+            false
+        } catch (e: HttpClientException.NotSent) {
+            e.cause is ConnectException && e.cause !is ConnectTimeoutException
+        }
+
     private suspend fun connect(address: String): Channel {
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toIntOrNull() ?: throw HttpClientException.NotSent("'$address' is not host:port")
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -59,6 +59,9 @@
     @Volatile
     private var knownControlHosts = seeds
 
+    /** Requests that may crash backend servers. */
+    public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
+
     /** Number of entry instances among which the limits of workspaces are divided; null until a control instance has reported it. */
     public val entryCount: Int? get() = synchronized(entries) { entries.current(clock.elapsed()) }
 
@@ -166,6 +169,9 @@
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(clock.elapsed(), serverTimeout) }
 
+    /** Returns the last report of backend server [id], or null if it is not known. */
+    public fun server(id: String): ServerReport? = synchronized(fleet) { fleet[id] }
+
     /** Returns the changes since [revision]; if [directOnly], only those that servers reported to this instance. */
     public fun fleetUpdateSince(
         revision: Long,
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
@@ -19,6 +19,7 @@
         when (message) {
             is PeerMessage.Replica -> replica.receive(from, message).let { PeerMessage.Ack }
             is PeerMessage.Watch -> watchResponder.respond(from, message)
+            is PeerMessage.SuspectUpdate -> watchResponder.recordSuspects(message).let { PeerMessage.Ack }
             is PeerMessage.Admit -> dispatch.admit(message.demand)
             is PeerMessage.Progress -> dispatch.recordProgress(message).let { PeerMessage.Ack }
             is PeerMessage.Propose -> propose(message)
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -31,12 +31,14 @@
     private val local: LocalDispatch,
     private val progress: ProgressReporter,
     private val sender: RequestSender,
+    private val crashDetector: CrashDetector,
     metrics: GatewayMetrics,
     private val clock: Clock,
     private val retryBudget: () -> RetryBudget,
 ) : HttpHandler {
     private val log = RequestLog(metrics, clock)
     private val lastNumber = AtomicLong()
+    private val suspects = clusterView.suspects
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
 
     /** True once new requests are rejected because this instance is about to stop. */
@@ -93,6 +95,7 @@
     /** Tries servers until the request is answered or has failed; returns its outcome for the log and the metrics. */
     private suspend fun serve(exchange: Exchange): String {
         while (true) {
+            if (suspects.isQuarantined(exchange.fingerprint)) return refuseQuarantined(exchange)
             val number = lastNumber.incrementAndGet()
             val demand = demand(exchange, number)
             val admitted = admit(demand)
@@ -106,19 +109,36 @@
             recordCharge(exchange, demand)
             exchange.lastServer = decision.server
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
-            val result =
-                try {
-                    if (decision.holdMillis > 0) delay(decision.holdMillis)
-                    exchange.attempts++
-                    exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
-                    sender.send(exchange, Attempt(number, decision))
-                } finally {
-                    progress.recordStep(number, RequestStep.ENDED)
-                }
+            val result = sendOnce(exchange, Attempt(number, decision)) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
         }
     }
 
+    /** Sends the request unless it has been quarantined since it was admitted, in which case it returns null. */
+    private suspend fun sendOnce(
+        exchange: Exchange,
+        attempt: Attempt,
+    ): AttemptResult? {
+        try {
+            if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
+            if (suspects.isQuarantined(exchange.fingerprint)) {
+                progress.recordStep(attempt.number, RequestStep.NOT_RUN)
+                return null
+            }
+            exchange.attempts++
+            exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
+            return sender.send(exchange, attempt)
+        } finally {
+            progress.recordStep(attempt.number, RequestStep.ENDED)
+        }
+    }
+
+    /** Answers a request that has crashed servers, with no time to come back: it will not be run. */
+    private suspend fun refuseQuarantined(exchange: Exchange): String {
+        suspects.recordSeen(exchange.fingerprint)
+        return fail(exchange, if (exchange.possibleRuns == 0) UNAVAILABLE else BAD_GATEWAY, "refused_quarantined", null)
+    }
+
     private fun recordCharge(
         exchange: Exchange,
         demand: DispatchRequest,
@@ -160,6 +180,7 @@
         when (result) {
             is AttemptResult.Delivered -> {
                 recordAdapterHolder(exchange, decision.server)
+                suspects.recordServed(exchange.fingerprint)
                 return "answered_${result.status}"
             }
 
@@ -186,6 +207,7 @@
                 exchange.possibleRuns++
                 exchange.lastBreakAt = clock.elapsed()
                 exchange.excludedServers += decision.server
+                crashDetector.checkAfterBreak(decision) { suspects.recordCrash(exchange.fingerprint, it) }
                 if (canRunAgain(exchange) && acquireRetry(exchange)) return null
                 return fail(exchange, BAD_GATEWAY, "broken", null)
             }
@@ -220,6 +242,7 @@
             adapter = request.adapter,
             promptTokens = request.promptTokens,
             exclude = exchange.excludedServers.toSet(),
+            isSuspect = suspects.isSuspect(exchange.fingerprint),
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -170,6 +170,7 @@
         val local = LocalDispatch(clusterView, progress::countRunning)
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
         val sender = RequestSender(client, dialects.requests, progress, clock)
+        val crashDetector = kernel.install(CrashDetector(client, clusterView))
         val clientHandler =
             Forwarder(
                 self = ForwarderIdentity(settings.host, settings.zone),
@@ -179,6 +180,7 @@
                 local = local,
                 progress = progress,
                 sender = sender,
+                crashDetector = crashDetector,
                 metrics = GatewayMetrics(metrics),
                 clock = clock,
                 retryBudget = ::retryBudget,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -35,6 +35,7 @@
         from: String,
         watch: PeerMessage.Watch,
     ): PeerMessage {
+        clusterView.suspects.merge(watch.suspects)
         val entry = watch.entry
         if (entry != null) recordEntry(entry) else controlsSeenAt[from] = clock.elapsed()
         val known = clusterView.changeCount
@@ -42,6 +43,9 @@
         return reply(watch)
     }
 
+    /** Records the suspects that an entry instance reports. */
+    public fun recordSuspects(update: PeerMessage.SuspectUpdate): Unit = clusterView.suspects.merge(update.reports)
+
     private fun recordEntry(entry: EntryInstance) {
         withEntries { record(entry, it) }
     }
@@ -53,7 +57,7 @@
         val active = clusterView.active
         val version = active.document?.version
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
-            (version != null && version > watch.documentVersion) ||
+            (version != null && version > watch.documentVersion) || clusterView.suspects.revision > watch.suspectRevision ||
             clusterView.hasFleetChangeSince(watch.fleetRevision, directOnly = watch.entry == null)
     }
 
@@ -61,6 +65,7 @@
         val isNewIncarnation = watch.incarnation != incarnation
         val since = if (isNewIncarnation) 0 else watch.fleetRevision
         val update = clusterView.fleetUpdateSince(since, directOnly = !isNewIncarnation && watch.entry == null)
+        val suspects = clusterView.suspects.changesSince(if (isNewIncarnation) 0 else watch.suspectRevision)
         val active = clusterView.active
         val view = replicaView()
         return PeerMessage.WatchReply(
@@ -75,6 +80,8 @@
             leader = view.leader?.instance,
             term = view.term,
             entryCount = withEntries { inUseCount(it) },
+            suspects = suspects.reports,
+            suspectRevision = suspects.revision,
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -39,6 +39,7 @@
                 delay(MEMBERSHIP_POLL)
             }
         }
+        scope.launch { reportSuspects() }
     }
 
     override suspend fun stop() {
@@ -54,6 +55,19 @@
             }.forEach { it.join() }
     }
 
+    /** Tells all control instances at once of suspects that this instance has found or cleared. */
+    private suspend fun reportSuspects() {
+        var reported = 0L
+        while (true) {
+            clusterView.suspects.awaitChange(reported)
+            delay(SUSPECT_BATCH_DELAY)
+            val update = clusterView.suspects.changesSince(reported, localOnly = true)
+            reported = update.revision
+            if (update.reports.isEmpty()) continue
+            for (control in clusterView.controlHosts - host) network.send(control, PeerMessage.SuspectUpdate(update.reports))
+        }
+    }
+
     private fun watchNewControls() {
         for (control in clusterView.controlHosts - host - watched) {
             watched += control
@@ -65,21 +79,22 @@
     private suspend fun watch(control: String) {
         var incarnation = ""
         var fleetRevision = 0L
+        var suspectRevision = 0L
         var reachable = false
+        var hasAllSuspects = false
         while (true) {
             val sentAt = clock.elapsed()
-            val answer =
-                network.call(
-                    control,
-                    watchRequest(incarnation, fleetRevision, if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO),
-                    ANSWER_TIMEOUT,
-                )
-            val reply = answer.getOrNull() as? PeerMessage.WatchReply
+            val suspects = if (hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports
+            val wait = if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO
+            val request = watchRequest(incarnation, fleetRevision, wait).copy(suspects = suspects, suspectRevision = suspectRevision)
+            val reply = network.call(control, request, ANSWER_TIMEOUT).getOrNull() as? PeerMessage.WatchReply
             if ((reply != null) != reachable) log.info(if (reply != null) "control_reached" else "control_lost", "control" to control)
             reachable = reply != null
+            hasAllSuspects = reply != null && (!hasAllSuspects || reply.incarnation == incarnation)
             if (reply != null) {
                 incarnation = reply.incarnation
                 fleetRevision = reply.fleetRevision
+                suspectRevision = reply.suspectRevision
                 applyReply(control, reply)
             }
             val pause = if (reply == null) RETRY_DELAY else MIN_INTERVAL - (clock.elapsed() - sentAt)
@@ -111,6 +126,7 @@
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
+        clusterView.suspects.merge(reply.suspects)
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.addControlHosts(reply.controlHosts)
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
@@ -129,5 +145,8 @@
         /** Minimum interval between two polls, so that a burst of changes arrives in one answer. */
         private val MIN_INTERVAL = 20.milliseconds
         private val MEMBERSHIP_POLL = 250.milliseconds
+
+        /** Several requests break at once when a server crashes; their reports are sent together. */
+        private val SUSPECT_BATCH_DELAY = 5.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -48,12 +48,13 @@
 /**
  * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
- * without a leader because of the limit; [demands] records all requests for admission.
+ * without a leader because of the limit. [retryReserve] is the number of retries allowed; [demands] records all requests for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
     refusals: Int = 0,
     localRefusals: Int = 0,
+    retryReserve: Double = 2.0,
     demands: MutableList<DispatchRequest> = mutableListOf(),
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
@@ -95,9 +96,10 @@
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
             sender = RequestSender(client, TestDialect, progress, SystemClock),
+            crashDetector = CrashDetector(client, clusterView),
             metrics = GatewayMetrics(Metrics()),
             clock = SystemClock,
-            retryBudget = { RetryBudget(10.seconds, 0.0) { 2.0 } },
+            retryBudget = { RetryBudget(10.seconds, 0.0) { retryReserve } },
         )
     val port = ServerSocket(0).use { it.localPort }
     val server = HttpServer("test", Address("127.0.0.1", port), forwarder, threads = 1)
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -155,6 +155,31 @@
             }
         }
 
+        describe("a request under which three servers have crashed") {
+            fun crashingServer(): ScriptedServer {
+                lateinit var server: ScriptedServer
+                server =
+                    ScriptedServer { _, _ ->
+                        server.close()
+                        null
+                    }
+                return server
+            }
+
+            it("is refused at once, as not run and with no time to come back") {
+                val crashing = List(3) { crashingServer() }
+                val sound = ScriptedServer { head, _ -> wholeResponse(head) }
+                withForwarder(crashing + sound, retryReserve = 20.0) { call, _ ->
+                    call("/again/1") shouldStartWith "HTTP/1.1 502"
+                    call("/again/1") shouldStartWith "HTTP/1.1 502"
+                    val answer = call("/again/1")
+                    answer shouldStartWith "HTTP/1.1 503"
+                    answer shouldNotContain "retry:"
+                    sound.requests shouldHaveSize 0
+                }
+            }
+        }
+
         describe("a client that disconnects") {
             it("causes the connection to the server to be closed") {
                 val silent = ScriptedServer { _, _ -> null }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -33,13 +33,17 @@
         }
     }
 
-    /** Servers that can run [request]; recently unreachable servers are included only if there are no others. */
+    /**
+     * Servers that can run [request]; recently unreachable servers are included only if there are no others. Suspects run on different
+     * servers if possible, so that an innocent one does not share the next crash with the one that causes it.
+     */
     fun candidates(
         request: DispatchRequest,
         now: Duration,
     ): List<DispatchServer> {
         val ready = servers.filter { it.report.service == request.service && it.isReady && it.report.id !in request.exclude }
-        return ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
+        val reachable = ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
+        return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
@@ -30,4 +30,6 @@
     @CborLabel(11) val promptTokens: Int = 0,
     /** Servers on which the request has failed or was rejected. */
     @CborLabel(12) val exclude: Set<String> = emptySet(),
+    /** True if a server has crashed while it ran the request, which may or may not have been the cause. */
+    @CborLabel(13) val isSuspect: Boolean = false,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -15,6 +15,9 @@
     /** Requests sent to the server that have not ended. */
     var runningRequests = 0
 
+    /** Those of [runningRequests] that are suspected of crashing servers. */
+    var runningSuspects = 0
+
     /** Prompt tokens sent to the server that it has not processed yet. */
     var pendingPromptTokens = 0
 
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -19,6 +19,7 @@
         val kvTokens: Int,
         val sentAt: Duration,
         val expiresAt: Duration,
+        val isSuspect: Boolean = false,
     )
 
     private val requests = HashMap<Pair<String, Long>, TrackedRequest>()
@@ -34,7 +35,17 @@
         val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
         val promptTokens = request.promptTokens
         val tracked =
-            TrackedRequest(server.report.id, request.adapter, request.workspace, request.charge, promptTokens, promptTokens, now, expiresAt)
+            TrackedRequest(
+                server = server.report.id,
+                adapter = request.adapter,
+                workspace = request.workspace,
+                charge = request.charge,
+                pendingTokens = promptTokens,
+                kvTokens = promptTokens,
+                sentAt = now,
+                expiresAt = expiresAt,
+                isSuspect = request.isSuspect,
+            )
         track(request.entry to request.number, server, tracked, now)
     }
 
@@ -106,6 +117,7 @@
         requests[key]?.let { remove(key, it) }
         requests[key] = tracked
         server.runningRequests++
+        if (tracked.isSuspect) server.runningSuspects++
         server.pendingPromptTokens += tracked.pendingTokens
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
@@ -126,6 +138,7 @@
         requests.remove(key)
         val server = fleet[tracked.server] ?: return
         server.runningRequests--
+        if (tracked.isSuspect) server.runningSuspects--
         server.kvTokens -= tracked.kvTokens
         tracked.adapter?.let { server.adapterSlots[it] }?.let { it.inFlight-- }
     }
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -261,4 +261,25 @@
                 dispatcher.runningRequests shouldBe 0
             }
         }
+
+        describe("a request that is suspected of crashing servers") {
+            fun suspect(server: String? = null) = request(service = "app", exclude = setOfNotNull(server)).copy(isSuspect = true)
+
+            it("runs on a server that runs no other suspect, as long as there is one") {
+                val dispatcher = dispatcher(plain("a"), plain("b"), plain("c"))
+                val servers = List(3) { (dispatcher.decide(suspect()) as DispatchDecision.Send).server }
+                servers.toSet() shouldBe setOf("a", "b", "c")
+                dispatcher.decide(suspect()).shouldBeInstanceOf<DispatchDecision.Send>()
+            }
+
+            it("leaves its server to the next suspect once it has ended") {
+                val dispatcher = dispatcher(plain("a"), plain("b"))
+                val first = suspect()
+                val server = (dispatcher.decide(first) as DispatchDecision.Send).server
+                dispatcher.applyEvents("e", listOf(RequestEvent(first.number, RequestStep.ENDED)), Duration.ZERO)
+                dispatcher.decide(suspect())
+                val other = setOf("a", "b") - server
+                (dispatcher.decide(suspect(other.single())) as DispatchDecision.Send).server shouldBe server
+            }
+        }
     })
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -17,6 +17,7 @@
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RunningRequest
 import anvilslip.policy.ServerReport
+import anvilslip.policy.SuspectReport
 import anvilslip.policy.Usage
 import anvilslip.state.AdapterName
 import anvilslip.state.Change
@@ -227,6 +228,10 @@
         @CborLabel(4) val incarnation: String = "",
         @CborLabel(5) val fleetRevision: Long = 0,
         @CborLabel(6) val waitMillis: Long = 0,
+        /** All suspects that the sender knows, if the receiver may lack some of them. */
+        @CborLabel(7) val suspects: List<SuspectReport> = emptyList(),
+        /** Revision of the receiver's suspects that the sender knows; refers to [incarnation]. */
+        @CborLabel(8) val suspectRevision: Long = 0,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -247,6 +252,16 @@
         @CborLabel(10) @SerialName("entries") val entryCount: Int = 1,
         /** Backend servers whose latest report is unchanged but for its sequence number, with that number. */
         @CborLabel(11) val refreshed: Map<String, Long> = emptyMap(),
+        /** Suspects that have changed. */
+        @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
+        @CborLabel(13) val suspectRevision: Long = 0,
+    ) : PeerMessage
+
+    /** Tells a control instance of requests under which backend servers have crashed, and of those that were cleared. */
+    @Serializable
+    @SerialName("suspect_update")
+    public data class SuspectUpdate(
+        @CborLabel(1) val reports: List<SuspectReport>,
     ) : PeerMessage
 
     /** Asks the leader to admit one request and choose its server. */
