Quarantine the part of a prompt that crashes backend servers

Cause: requests were told apart only as wholes.

Change: the parts of a prompt that others may share are decoded, and each is a key of its own in the table of suspects, beside the fingerprint.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -19,6 +19,8 @@
     public val promptTokens: Int = 0,
     /** Sum of prompt and output tokens; null when the client sent no token counts. */
     public val totalTokens: Long? = null,
+    /** IDs of the parts of the prompt that other requests may share, in order; the part of this request alone is left out. */
+    public val sharedPromptParts: List<String> = emptyList(),
     /** ID of the last event that the client received of the stream it resumes; null for a new stream. */
     public val lastEventId: String? = null,
 )
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -19,6 +19,7 @@
 ) {
     /** Equal for all repeats of this request, on every instance. */
     val fingerprint: String by lazy { fingerprintOf(request, workspace) }
+    val suspectKeys: List<String> by lazy { suspectKeysOf(fingerprint, request) }
     val events = SseEventBuffer(request.lastEventId?.toLongOrNull())
     val excludedServers = HashSet<String>()
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -95,7 +95,7 @@
     /** Tries servers until the request is answered or has failed; returns its outcome for the log and the metrics. */
     private suspend fun serve(exchange: Exchange): String {
         while (true) {
-            if (suspects.isQuarantined(exchange.fingerprint)) return refuseQuarantined(exchange)
+            suspects.quarantinedKey(exchange.suspectKeys)?.let { return refuseQuarantined(exchange, it) }
             val number = lastNumber.incrementAndGet()
             val demand = demand(exchange, number)
             val admitted = admit(demand)
@@ -121,7 +121,7 @@
     ): AttemptResult? {
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (suspects.isQuarantined(exchange.fingerprint)) {
+            if (suspects.quarantinedKey(exchange.suspectKeys) != null) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
                 return null
             }
@@ -133,9 +133,13 @@
         }
     }
 
-    /** Answers a request that has crashed servers, with no time to come back: it will not be run. */
-    private suspend fun refuseQuarantined(exchange: Exchange): String {
-        suspects.recordSeen(exchange.fingerprint)
+    /** Answers a request that crashes servers, as far as known by its [key], with no time to come back: it will not be run. */
+    private suspend fun refuseQuarantined(
+        exchange: Exchange,
+        key: String,
+    ): String {
+        suspects.recordSeen(key)
+        log.recordQuarantine(exchange, key)
         return fail(exchange, if (exchange.possibleRuns == 0) UNAVAILABLE else BAD_GATEWAY, "refused_quarantined", null)
     }
 
@@ -180,7 +184,7 @@
         when (result) {
             is AttemptResult.Delivered -> {
                 recordAdapterHolder(exchange, decision.server)
-                suspects.recordServed(exchange.fingerprint)
+                suspects.recordServed(exchange.suspectKeys)
                 return "answered_${result.status}"
             }
 
@@ -207,7 +211,7 @@
                 exchange.possibleRuns++
                 exchange.lastBreakAt = clock.elapsed()
                 exchange.excludedServers += decision.server
-                crashDetector.checkAfterBreak(decision) { suspects.recordCrash(exchange.fingerprint, it) }
+                crashDetector.checkAfterBreak(decision) { suspects.recordCrash(exchange.suspectKeys, it) }
                 if (canRunAgain(exchange) && acquireRetry(exchange)) return null
                 return fail(exchange, BAD_GATEWAY, "broken", null)
             }
@@ -242,7 +246,7 @@
             adapter = request.adapter,
             promptTokens = request.promptTokens,
             exclude = exchange.excludedServers.toSet(),
-            isSuspect = suspects.isSuspect(exchange.fingerprint),
+            isSuspect = suspects.isSuspect(exchange.suspectKeys),
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -46,6 +46,20 @@
             "configuration" to exchange.configurationVersion,
         )
 
+    /** Records that a request is not sent to servers because [key], one of its suspect keys, is quarantined. */
+    fun recordQuarantine(
+        exchange: Exchange,
+        key: String,
+    ): Unit =
+        log.info(
+            "refused",
+            "request_id" to exchange.request.attemptId,
+            "fingerprint" to exchange.fingerprint,
+            "reason" to "quarantined",
+            "key" to key,
+            "runs" to exchange.possibleRuns,
+        )
+
     /** Records an attempt that failed with [event], `not_run` or `broken`. */
     fun recordFailedAttempt(
         event: String,
--- a/gateway/src/main/kotlin/anvilslip/gateway/SuspectRegistry.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/SuspectRegistry.kt
@@ -25,22 +25,22 @@
     /** Increases with each change. */
     public val revision: Long get() = revisionFlow.value
 
-    /** True if a server has crashed under a request with [key] and none was served since. */
-    public fun isSuspect(key: String): Boolean = synchronized(table) { table.isSuspect(key) }
+    /** True if a server has crashed under a request with one of [keys] and none with that key was served since. */
+    public fun isSuspect(keys: List<String>): Boolean = synchronized(table) { keys.any(table::isSuspect) }
 
-    /** True if requests with [key] must not be sent to servers. */
-    public fun isQuarantined(key: String): Boolean = synchronized(table) { table.isQuarantined(key) }
+    /** The first of [keys] with which requests must not be sent to servers, or null if there is none. */
+    public fun quarantinedKey(keys: List<String>): String? = synchronized(table) { keys.firstOrNull(table::isQuarantined) }
 
-    /** Records that [server] crashed while it ran a request with [key]. */
+    /** Records that [server] crashed while it ran a request with [keys]. */
     public fun recordCrash(
-        key: String,
+        keys: List<String>,
         server: String,
-    ): Unit = update(listOf(key)) { table.recordCrash(key, server, clock.elapsed()) }
+    ): Unit = update(keys) { for (key in keys) table.recordCrash(key, server, clock.elapsed()) }
 
-    /** Records that a request with [key] was served, which clears it. */
-    public fun recordServed(key: String): Unit = update(listOf(key)) { table.recordServed(key, clock.elapsed()) }
+    /** Records that a request with [keys] was served, which clears them. */
+    public fun recordServed(keys: List<String>): Unit = update(keys) { for (key in keys) table.recordServed(key, clock.elapsed()) }
 
-    /** Records that a quarantined request with [key] came again. */
+    /** Records that a request with the quarantined [key] came again. */
     public fun recordSeen(key: String): Unit = update(listOf(key)) { table.recordSeen(key, clock.elapsed()) }
 
     /** Adds what another instance reports. */
--- a/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
@@ -6,9 +6,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Evidence on requests that may crash backend servers. All requests that were running on a server when it crashed are suspects, since
- * most of them are innocent. A suspect that is served is cleared of all crashes known so far; one under which [MAX_CRASHES] servers
- * have crashed since is quarantined.
+ * Evidence on requests that may crash backend servers. A request has several keys: one of its own and those of properties that it shares
+ * with others. All keys of the requests that were running on a server when it crashed are suspects, and most of them are innocent. A
+ * suspect that is served is cleared of all crashes known so far; one under which [MAX_CRASHES] servers have crashed since is
+ * quarantined. A quarantined key explains its crashes: they no longer count against keys under which fewer servers crashed.
  *
  * Instances exchange [SuspectReport]s. Tables merge them in any order, repeatedly, with the same result, so each instance can decide
  * by itself. Suspects are forgotten once no such request has been seen for a while. Not thread-safe.
@@ -37,8 +38,13 @@
     public var revision: Long = 0
         private set
 
-    /** Incarnations of the servers that crashed under requests with [key], without those it has been cleared of. */
-    public fun crashes(key: String): Set<String> = suspects[key]?.openCrashes.orEmpty()
+    /** Incarnations of the servers whose crashes count against [key]: it has not been cleared of them, and no other key explains them. */
+    public fun crashes(key: String): Set<String> {
+        val open = suspects[key]?.openCrashes.orEmpty()
+        if (open.isEmpty()) return open
+        val explanations = suspects.values.filter { it.openCrashes.size >= MAX_CRASHES && it.openCrashes.size > open.size }
+        return open - explanations.flatMap { it.openCrashes }.toSet()
+    }
 
     /** True if a server has crashed under a request with [key] and none was served since. */
     public fun isSuspect(key: String): Boolean = crashes(key).isNotEmpty()
--- a/policy/src/test/kotlin/anvilslip/policy/SuspectTableSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/SuspectTableSpec.kt
@@ -69,6 +69,50 @@
             }
         }
 
+        describe("a key that requests share") {
+            it("explains the crashes of requests that ran beside them") {
+                val table = SuspectTable()
+                for (server in listOf("a", "b", "c")) table.recordCrash("innocent", server, start)
+                for (server in listOf("a", "b", "c", "d")) table.recordCrash("part", server, start)
+                table.isQuarantined("part") shouldBe true
+                table.isSuspect("innocent") shouldBe false
+            }
+
+            it("does not explain crashes of other servers") {
+                val table = SuspectTable()
+                for (server in listOf("a", "x", "y", "z")) table.recordCrash("other", server, start)
+                for (server in listOf("a", "b", "c", "d", "e")) table.recordCrash("part", server, start)
+                table.isQuarantined("other") shouldBe true
+                table.crashes("other") shouldBe setOf("x", "y", "z")
+            }
+
+            it("explains nothing before it is quarantined") {
+                val table = SuspectTable().apply { recordCrash("innocent", "a", start) }
+                for (server in listOf("a", "b")) table.recordCrash("part", server, start)
+                table.isSuspect("innocent") shouldBe true
+            }
+
+            it("is found among common and rare sound ones, seeds 1 to 200") {
+                for (seed in 1..200) {
+                    val random = Random(seed)
+                    val table = SuspectTable()
+                    var now = start
+                    repeat(12) { round ->
+                        repeat(random.nextInt(1, 8)) {
+                            val sound = listOf("common", "rare-${random.nextInt(40)}")
+                            now += 30.milliseconds
+                            if (random.nextInt(3) == 0) sound.forEach { table.recordServed(it, now) }
+                            sound.forEach { table.recordCrash(it, "s$round", now) }
+                        }
+                        if (!table.isQuarantined("bad")) (listOf("common", "bad")).forEach { table.recordCrash(it, "s$round", now) }
+                        now += 400.milliseconds
+                    }
+                    check(table.isQuarantined("bad")) { "seed $seed: the part that crashes servers is not quarantined" }
+                    check(!table.isQuarantined("common")) { "seed $seed: the common part is quarantined" }
+                }
+            }
+        }
+
         describe("reports of other instances") {
             it("are merged, so that crashes seen by different instances add up") {
                 val table = tableWithCrashes("a")
