Clear suspects only by successful answers

A server that rejects a request without running it says nothing on whether the request would crash it, yet any answer below 500 cleared it and kept it from being blamed for 10 s. ForwarderSpec, a request that was rejected once and then crashed the third server: it reached a fourth server before, is refused now.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -184,7 +184,7 @@
         when (result) {
             is AttemptResult.Delivered -> {
                 recordAdapterHolder(exchange, decision.server)
-                suspects.recordServed(exchange.suspectKeys)
+                if (result.status in SUCCESS) suspects.recordServed(exchange.suspectKeys)
                 return "answered_${result.status}"
             }
 
@@ -315,6 +315,7 @@
     }
 
     private companion object {
+        val SUCCESS = 200..299
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
         const val TOO_MANY_REQUESTS = 429
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -33,6 +33,18 @@
             return "HTTP/1.1 200 OK\r\n$id\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n$chunk\r\n$text\r\n$end"
         }
 
+        /** Creates a server that crashes on a request, on the second one if [before] gives the answer to the first. */
+        fun crashingServer(before: ((head: String) -> String)? = null): ScriptedServer {
+            lateinit var server: ScriptedServer
+            server =
+                ScriptedServer { head, _ ->
+                    if (before != null && server.requests.size == 1) return@ScriptedServer before(head)
+                    server.close()
+                    null
+                }
+            return server
+        }
+
         describe("a request of an at-most-once route") {
             it("is retried on another server if the first one did not run it") {
                 val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
@@ -156,16 +168,6 @@
         }
 
         describe("a request under which three servers have crashed") {
-            fun crashingServer(): ScriptedServer {
-                lateinit var server: ScriptedServer
-                server =
-                    ScriptedServer { _, _ ->
-                        server.close()
-                        null
-                    }
-                return server
-            }
-
             it("is refused at once, as not run and with no time to come back") {
                 val crashing = List(3) { crashingServer() }
                 val sound = ScriptedServer { head, _ -> wholeResponse(head) }
@@ -180,6 +182,21 @@
             }
         }
 
+        describe("a request that a server rejected, and under which three servers have crashed") {
+            it("is refused, since a rejection is no proof that it can be served") {
+                val crashing = List(2) { crashingServer() }
+                val rejecting = crashingServer(before = { head -> wholeResponse(head).replace("200 OK", "400 Bad Request") })
+                val sound = ScriptedServer { head, _ -> wholeResponse(head) }
+                withForwarder(crashing + rejecting + sound, retryReserve = 20.0) { call, _ ->
+                    call("/again/1") shouldStartWith "HTTP/1.1 502"
+                    call("/again/1") shouldStartWith "HTTP/1.1 400"
+                    call("/again/1") shouldStartWith "HTTP/1.1 502"
+                    call("/again/1") shouldStartWith "HTTP/1.1 503"
+                    sound.requests shouldHaveSize 0
+                }
+            }
+        }
+
         describe("a client that disconnects") {
             it("causes the connection to the server to be closed") {
                 val silent = ScriptedServer { _, _ -> null }
