--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -27,7 +27,7 @@
         val call = buildCall(exchange, attempt)
         val response =
             try {
-                client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed())
+                client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
             } catch (e: HttpClientException.NotSent) {
                 progress.recordStep(attempt.number, RequestStep.UNREACHABLE)
                 return AttemptResult.NotRun(e.message ?: "not sent")
@@ -135,5 +135,8 @@
         const val MAX_BODY_BYTES = 16 * 1024 * 1024
         const val MAX_REFUSAL_BYTES = 64 * 1024
         val MIN_REMAINING: Duration = 1.milliseconds
+
+        /** The deadline of the exchange ends the wait for a silent server, so that the client is told of a timeout. */
+        val READ_TIMEOUT_MARGIN = 1.seconds
     }
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
+import anvilslip.kernel.Clock
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.Metrics
 import anvilslip.kernel.SystemClock
@@ -55,6 +56,7 @@
     refusals: Int = 0,
     localRefusals: Int = 0,
     retryReserve: Double = 2.0,
+    senderClock: Clock = SystemClock,
     demands: MutableList<DispatchRequest> = mutableListOf(),
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
@@ -95,7 +97,7 @@
             admit = ::admit,
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
-            sender = RequestSender(client, TestDialect, progress, SystemClock),
+            sender = RequestSender(client, TestDialect, progress, senderClock),
             crashDetector = CrashDetector(client, clusterView),
             metrics = GatewayMetrics(Metrics()),
             clock = SystemClock,
