Relay answers that follow an informational response

The codec ends an informational response with an empty last content of its own. It was taken for the end of the answer, so the real answer counted as excess bytes, and the client got 500 after the timeout of the route. Found while testing answers without end; ForwarderSpec, an answer after 103: 500 before, relayed after.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -20,6 +20,9 @@
         context = ctx
     }
 
+    /** True while the end of an informational response is still to come. */
+    private var isInformational = false
+
     /** Starts an exchange; [onReusable] is called when it has ended and the connection can be reused. */
     fun beginExchange(
         readTimeout: Duration,
@@ -41,7 +44,7 @@
                 ctx.close()
                 return
             }
-            if (message is HttpResponse && message.status().code() in INFORMATIONAL) return
+            if (isPartOfInformational(message)) return
             if (current.isComplete) return current.onExcessBytes()
             if (message is HttpResponse) current.onHead(message)
             if (message is HttpContent) {
@@ -55,6 +58,12 @@
         }
     }
 
+    /** True for the head of an informational response, and for the empty content with which the codec ends it. */
+    private fun isPartOfInformational(message: Any): Boolean {
+        if (message is HttpResponse) isInformational = message.decoderResult().isSuccess && message.status().code() in INFORMATIONAL
+        return isInformational
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         response?.onFailure("the connection was closed")
     }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -89,6 +89,13 @@
             }
         }
 
+        describe("an answer after an informational response") {
+            it("is relayed") {
+                val server = ScriptedServer { head, _ -> "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + wholeResponse(head) }
+                withForwarder(listOf(server)) { call, _ -> call("/once/1") shouldEndWith "yes" }
+            }
+        }
+
         describe("an answer followed by extra bytes") {
             it("is relayed without them, and its connection is not reused") {
                 val server = ScriptedServer { head, _ -> wholeResponse(head, extra = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno") }
