Bound what a server that never stops sending can occupy

Received bytes were queued without bound, as were an event that does not end, bytes after a whole answer and informational responses.

Now the connection is paused while more than 256 KiB are unread, so the queue follows the client's pace; an event may have 1 MiB; excess or malformed bytes and the 17th informational response close the connection at once.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -20,7 +20,8 @@
         context = ctx
     }
 
-    /** True while the end of an informational response is still to come. */
+    /** Informational responses to the request in progress, and whether the end of one of them is still to come. */
+    private var informationalCount = 0
     private var isInformational = false
 
     /** Starts an exchange; [onReusable] is called when it has ended and the connection can be reused. */
@@ -28,7 +29,7 @@
         readTimeout: Duration,
         onReusable: (serverIdleLimit: Duration?) -> Unit,
     ): HttpClientResponse =
-        HttpClientResponse(readTimeout) { reusable, serverIdleLimit ->
+        HttpClientResponse(readTimeout, ReceiveWindow { context?.channel()?.config()?.isAutoRead = it }) { reusable, serverIdleLimit ->
             response = null
             if (reusable) onReusable(serverIdleLimit) else context?.close()
         }.also { response = it }
@@ -44,15 +45,17 @@
                 ctx.close()
                 return
             }
-            if (isPartOfInformational(message)) return
-            if (current.isComplete) return current.onExcessBytes()
-            if (message is HttpResponse) current.onHead(message)
-            if (message is HttpContent) {
-                val cause = message.decoderResult().cause()
-                if (cause != null) return current.onFailure("malformed answer: ${cause.message}")
-                val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
-                current.onBody(bytes, message is LastHttpContent)
+            if (isPartOfInformational(message)) {
+                if (informationalCount > MAX_INFORMATIONAL) fail(ctx, current, "too many informational responses")
+                return
+            }
+            if (current.isComplete) {
+                current.onExcessBytes()
+                ctx.close()
+                return
             }
+            if (message is HttpResponse) current.onHead(message)
+            if (message is HttpContent) receiveContent(ctx, current, message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -60,10 +63,33 @@
 
     /** True for the head of an informational response, and for the empty content with which the codec ends it. */
     private fun isPartOfInformational(message: Any): Boolean {
-        if (message is HttpResponse) isInformational = message.decoderResult().isSuccess && message.status().code() in INFORMATIONAL
+        if (message is HttpResponse) {
+            isInformational = message.decoderResult().isSuccess && message.status().code() in INFORMATIONAL
+            if (isInformational) informationalCount++ else informationalCount = 0
+        }
         return isInformational
     }
 
+    private fun receiveContent(
+        ctx: ChannelHandlerContext,
+        current: HttpClientResponse,
+        message: HttpContent,
+    ) {
+        val cause = message.decoderResult().cause()
+        if (cause != null) return fail(ctx, current, "malformed answer: ${cause.message}")
+        val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
+        current.onBody(bytes, message is LastHttpContent)
+    }
+
+    private fun fail(
+        ctx: ChannelHandlerContext,
+        current: HttpClientResponse,
+        reason: String,
+    ) {
+        current.onFailure(reason)
+        ctx.close()
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         response?.onFailure("the connection was closed")
     }
@@ -79,5 +105,8 @@
 
     private companion object {
         val INFORMATIONAL = 100..199
+
+        /** More than any server sends; without a limit they could come for ever. */
+        const val MAX_INFORMATIONAL = 16
     }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
@@ -14,6 +14,7 @@
 /** A response that is being received. Must be closed; closing it before the end of the body closes the connection. */
 public class HttpClientResponse internal constructor(
     private val readTimeout: Duration,
+    private val window: ReceiveWindow,
     private val onClose: (reusable: Boolean, serverIdleLimit: Duration?) -> Unit,
 ) : AutoCloseable {
     private class Head(
@@ -60,7 +61,7 @@
             withTimeoutOrNull(readTimeout) { body.receiveCatching() }
                 ?: throw HttpClientException.IncompleteResponse("the server is silent", true)
         result.exceptionOrNull()?.let { throw it }
-        return result.getOrNull()
+        return result.getOrNull()?.also { window.onRead(it.size) }
     }
 
     /** Reads the complete body, which may have at most [limit] bytes. */
@@ -103,6 +104,7 @@
         bytes: ByteArray,
         last: Boolean,
     ) {
+        window.onReceived(bytes.size)
         if (bytes.isNotEmpty()) body.trySend(bytes)
         if (!last) return
         bodyComplete = true
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -122,6 +122,7 @@
             val bytes = response.read() ?: break
             val events = exchange.events.append(bytes)
             if (events.isNotEmpty()) exchange.responder.sendPart(events)
+            if (exchange.events.isOverlong) return AttemptResult.Broken("an event of the stream is too long")
         }
         if (exchange.events.hasPartialEvent) return AttemptResult.Broken("the stream ended within an event")
         exchange.responder.endStream()
--- a/policy/src/main/kotlin/anvilslip/policy/SseEventBuffer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/SseEventBuffer.kt
@@ -19,6 +19,9 @@
     /** True while an incomplete event is buffered. */
     public val hasPartialEvent: Boolean get() = partial.size() > 0
 
+    /** True if the incomplete event is larger than any event may be. */
+    public val isOverlong: Boolean get() = partial.size() > MAX_EVENT_BYTES
+
     /** Appends [bytes] and returns the events that they complete, concatenated. */
     public fun append(bytes: ByteArray): ByteArray {
         val completed = ByteArrayOutputStream()
@@ -60,6 +63,7 @@
             ?.toLongOrNull()
 
     private companion object {
+        const val MAX_EVENT_BYTES = 1024 * 1024
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
