--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -2,7 +2,6 @@
 
 import kotlin.random.Random
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * State machine of one replica of the replicated log. It implements Raft with pre-votes, a leader lease, single-replica
@@ -19,18 +18,16 @@
     recovered: RecoveredData,
     private val members: Set<String>,
     private val options: ReplicaOptions = ReplicaOptions(),
-    private val random: Random,
+    random: Random,
     now: Duration,
     private val mayBootstrap: Boolean = true,
 ) {
     private val log = ReplicaLog(recovered)
     private var vote = recovered.vote
-    private var commit = recovered.snapshot?.index ?: 0
-    private var lastApplied = commit
+    private val applied = AppliedState(recovered.snapshot)
 
     /** Replicated state after all applied entries. */
-    public var state: ReplicatedState = recovered.snapshot?.state ?: ReplicatedState()
-        private set
+    public val state: ReplicatedState get() = applied.state
 
     /** Role in the current term. */
     public var role: ReplicaRole = ReplicaRole.FOLLOWER
@@ -42,7 +39,7 @@
 
     private var voters: Set<ReplicaId> = log.latestVoters()
     private var lastLeaderContact = now
-    private var electionDeadline = now + initialElectionTimeout()
+    private val electionTimer = ElectionTimer(options.electionTimeout, random, now)
     private var preVoting = false
     private val votes = mutableSetOf<ReplicaId>()
     private val followers = Followers(id, options)
@@ -57,7 +54,7 @@
     public val term: Long get() = vote.term
 
     /** Index of the last entry known to be committed. */
-    public val commitIndex: Long get() = commit
+    public val commitIndex: Long get() = applied.commit
 
     /** Index of the last entry in the log. */
     public val lastIndex: Long get() = log.lastIndex
@@ -71,7 +68,7 @@
     /** Monotonic time until which no other replica can be elected, so that the leader may decide alone; null if not leading. */
     public val leaseUntil: Duration?
         get() {
-            val committedOwnTerm = log.termAt(commit) == term
+            val committedOwnTerm = log.termAt(commitIndex) == term
             return followers.confirmedRoundSentAt?.takeIf { role == ReplicaRole.LEADER && committedOwnTerm }?.plus(options.leaderLease)
         }
 
@@ -87,7 +84,7 @@
             when {
                 role == ReplicaRole.LEADER -> tickLeader(now)
                 id !in voters -> tickNonVoter(now)
-                now >= electionDeadline -> startPreVote(now)
+                electionTimer.isDue(now) -> startPreVote(now)
             }
         }
 
@@ -123,8 +120,9 @@
     /** Takes a snapshot of the applied state if enough entries were applied since the last one; returns null otherwise. */
     public fun snapshotIfDue(): Snapshot? {
         val lastSnapshotIndex = log.snapshot?.index ?: 0
-        if (lastApplied - lastSnapshotIndex < options.entriesBetweenSnapshots) return null
-        val snapshot = Snapshot(lastApplied, log.termAt(lastApplied)!!, votersAt(lastApplied), state)
+        val index = applied.lastApplied
+        if (index - lastSnapshotIndex < options.entriesBetweenSnapshots) return null
+        val snapshot = Snapshot(index, log.termAt(index)!!, votersAt(index), state)
         log.compact(snapshot, options.retainedEntries)
         return snapshot
     }
@@ -138,15 +136,6 @@
         return output
     }
 
-    private fun randomElectionTimeout(): Duration =
-        options.electionTimeout + random.nextInt(options.electionTimeout.inWholeMilliseconds.toInt()).milliseconds
-
-    /**
-     * Timeout of the first election after a start. At least the election timeout, since a leader elected earlier may still hold a
-     * lease. Shorter than later timeouts, because after a common start all replicas have waited equally long.
-     */
-    private fun initialElectionTimeout(): Duration = options.electionTimeout + (randomElectionTimeout() - options.electionTimeout) / 2
-
     private fun send(
         to: ReplicaId,
         message: ReplicaMessage,
@@ -168,7 +157,7 @@
     }
 
     private fun truncateLog(from: Long) {
-        check(from > commit) { "committed entries must not be truncated" }
+        check(from > commitIndex) { "committed entries must not be truncated" }
         log.truncateFrom(from)
         check(output.append.isEmpty()) { "a step must not truncate the log after it appended entries" }
         output = output.copy(truncateFrom = from)
@@ -184,7 +173,7 @@
     private fun isQuorum(replicas: Collection<ReplicaId>): Boolean = replicas.count { it in voters } * 2 > voters.size
 
     private fun startPreVote(now: Duration) {
-        electionDeadline = now + randomElectionTimeout()
+        electionTimer.restart(now)
         role = ReplicaRole.FOLLOWER
         leader = null
         preVoting = true
@@ -200,7 +189,7 @@
         setVote(Vote(term + 1, id))
         votes.clear()
         votes += id
-        electionDeadline = now + randomElectionTimeout()
+        electionTimer.restart(now)
         if (isQuorum(votes)) becomeLeader(now) else requestVotes(term, preVote = false)
     }
 
@@ -268,7 +257,7 @@
         val granted = mayVote && request.term == term && role == ReplicaRole.FOLLOWER && voteAvailable
         if (granted) {
             setVote(Vote(term, from))
-            electionDeadline = now + randomElectionTimeout()
+            electionTimer.restart(now)
         }
         send(from, ReplicaMessage.VoteReply(term, granted, preVote = false))
     }
@@ -326,7 +315,7 @@
     private fun tickLeader(now: Duration) {
         if (!isQuorum(followers.activeReplicas(now))) {
             stepDown(term, null)
-            electionDeadline = now + randomElectionTimeout()
+            electionTimer.restart(now)
             return
         }
         if (now >= nextPeriodicSend) broadcast(now)
@@ -353,7 +342,7 @@
             return
         }
         val entries = log.from(progress.nextIndex, options.maxEntriesPerAppend)
-        send(to, ReplicaMessage.Append(term, previous, previousTerm, entries, commit, followers.lastRound))
+        send(to, ReplicaMessage.Append(term, previous, previousTerm, entries, commitIndex, followers.lastRound))
         progress.nextIndex += entries.size
     }
 
@@ -379,10 +368,10 @@
             return
         }
         val localTerm = log.termAt(append.previousIndex)
-        val committed = append.previousIndex < commit
+        val committed = append.previousIndex < commitIndex
         if (!committed && localTerm != append.previousTerm) {
             val retryAfter = minOf(append.previousIndex - 1, log.lastIndex)
-            send(from, ReplicaMessage.AppendReply(term, false, maxOf(retryAfter, commit), append.round))
+            send(from, ReplicaMessage.AppendReply(term, false, maxOf(retryAfter, commitIndex), append.round))
             return
         }
         appendReceived(append.entries)
@@ -392,7 +381,7 @@
     }
 
     private fun appendReceived(entries: List<LogEntry>) {
-        val conflict = entries.firstOrNull { it.index > commit && it.index <= log.lastIndex && log.termAt(it.index) != it.term }
+        val conflict = entries.firstOrNull { it.index > commitIndex && it.index <= log.lastIndex && log.termAt(it.index) != it.term }
         if (conflict != null) truncateLog(conflict.index)
         appendToLog(entries.filter { it.index > log.lastIndex })
     }
@@ -408,7 +397,7 @@
             stepDown(leaderTerm, from)
         }
         lastLeaderContact = now
-        electionDeadline = now + randomElectionTimeout()
+        electionTimer.restart(now)
         preVoting = false
         return true
     }
@@ -423,11 +412,9 @@
             return
         }
         val snapshot = install.snapshot
-        if (snapshot.index > commit) {
+        if (snapshot.index > commitIndex) {
             log.install(snapshot)
-            commit = snapshot.index
-            lastApplied = snapshot.index
-            state = snapshot.state
+            applied.install(snapshot)
             voters = log.latestVoters()
             output = output.copy(install = snapshot)
         }
@@ -467,7 +454,7 @@
 
     private fun advanceCommit(now: Duration) {
         val majorityIndex = followers.majorityIndex(voters, log.lastIndex)
-        if (majorityIndex > commit && log.termAt(majorityIndex) == term) {
+        if (majorityIndex > commitIndex && log.termAt(majorityIndex) == term) {
             commitUpTo(majorityIndex)
             if (id !in voters) stepDown(term, null) else removeFormerVoters()
             if (role == ReplicaRole.LEADER) changeVotersIfNeeded(now)
@@ -475,26 +462,15 @@
     }
 
     private fun removeFormerVoters() {
-        if (log.latestMembershipIndex() > commit) return
+        if (log.latestMembershipIndex() > commitIndex) return
         followers.removeNonMembers(voters)
     }
 
     private fun commitUpTo(index: Long) {
-        commit = maxOf(commit, index)
-        val applied = mutableListOf<ReplicaOutput.Applied>()
-        while (lastApplied < commit) {
-            val entry = log.entry(++lastApplied)
-            applied += ReplicaOutput.Applied(entry.index, entry.term, apply(entry.payload))
-        }
-        if (applied.isNotEmpty()) output = output.copy(applied = output.applied + applied)
+        val entries = applied.commitUpTo(index, log)
+        if (entries.isNotEmpty()) output = output.copy(applied = output.applied + entries)
     }
 
-    private fun apply(payload: Payload): Outcome? =
-        when (payload) {
-            is Payload.Apply -> state.apply(payload.command, payload.atMillis).also { state = it.state }.outcome
-            is Payload.Membership, Payload.Noop -> null
-        }
-
     private fun onJoin(
         from: ReplicaId,
         now: Duration,
@@ -506,8 +482,8 @@
 
     /** Proposes to add a replica that has caught up or to remove an unresponsive one, once the previous change is committed. */
     private fun changeVotersIfNeeded(now: Duration) {
-        if (role != ReplicaRole.LEADER || log.latestMembershipIndex() > commit || log.termAt(commit) != term) return
-        val next = followers.nextVoters(voters, commit, now) ?: return
+        if (role != ReplicaRole.LEADER || log.latestMembershipIndex() > commitIndex || log.termAt(commitIndex) != term) return
+        val next = followers.nextVoters(voters, commitIndex, now) ?: return
         appendAsLeader(listOf(Payload.Membership(next)), now)
     }
 }
