Keep how far a control instance was followed in one value

Four variables of the loop that polls a control instance became one, with the rule when all suspects are sent again in one place. Behaviour is the same.

--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -27,6 +27,20 @@
     /** Returns the state of this entry instance to report; null on a control instance. */
     private val entry: () -> EntryInstance?,
 ) : Service {
+    /** How far this instance has followed the changes of a control instance. */
+    private data class Position(
+        val incarnation: String = "",
+        val fleetRevision: Long = 0,
+        val suspectRevision: Long = 0,
+        /** True if the control instance has been told of all suspects known here; later ones are reported at once. */
+        val hasAllSuspects: Boolean = false,
+    ) {
+        fun after(reply: PeerMessage.WatchReply): Position {
+            val wasTold = !hasAllSuspects || reply.incarnation == incarnation
+            return Position(reply.incarnation, reply.fleetRevision, reply.suspectRevision, hasAllSuspects = wasTold)
+        }
+    }
+
     override val name: String = NAME
     private val log = EventLogger("watch")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -77,34 +91,23 @@
     }
 
     private suspend fun watch(control: String) {
-        var incarnation = ""
-        var fleetRevision = 0L
-        var suspectRevision = 0L
+        var position = Position()
         var reachable = false
-        var hasAllSuspects = false
         while (true) {
             val sentAt = clock.elapsed()
-            val suspects = if (hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports
-            val wait = if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO
-            val request = watchRequest(incarnation, fleetRevision, wait).copy(suspects = suspects, suspectRevision = suspectRevision)
+            val request = watchRequest(position, if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO)
             val reply = network.call(control, request, ANSWER_TIMEOUT).getOrNull() as? PeerMessage.WatchReply
             if ((reply != null) != reachable) log.info(if (reply != null) "control_reached" else "control_lost", "control" to control)
             reachable = reply != null
-            hasAllSuspects = reply != null && (!hasAllSuspects || reply.incarnation == incarnation)
-            if (reply != null) {
-                incarnation = reply.incarnation
-                fleetRevision = reply.fleetRevision
-                suspectRevision = reply.suspectRevision
-                applyReply(control, reply)
-            }
+            reply?.let { applyReply(control, it) }
+            position = reply?.let(position::after) ?: position.copy(hasAllSuspects = false)
             val pause = if (reply == null) RETRY_DELAY else MIN_INTERVAL - (clock.elapsed() - sentAt)
             if (pause.isPositive()) delay(pause)
         }
     }
 
     private fun watchRequest(
-        incarnation: String,
-        fleetRevision: Long,
+        position: Position,
         wait: Duration,
     ): PeerMessage.Watch {
         val active = clusterView.active
@@ -112,9 +115,11 @@
             entry = entry(),
             documentVersion = active.document?.version ?: -1,
             namedRevision = active.versionsRevision,
-            incarnation = incarnation,
-            fleetRevision = fleetRevision,
+            incarnation = position.incarnation,
+            fleetRevision = position.fleetRevision,
             waitMillis = wait.inWholeMilliseconds,
+            suspects = if (position.hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports,
+            suspectRevision = position.suspectRevision,
         )
     }
 
