--- a/gateway/src/test/kotlin/anvilslip/gateway/ScriptedEngineClient.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ScriptedEngineClient.kt
@@ -5,6 +5,7 @@
 /** An engine that answers successive orders with [replies]. */
 internal class ScriptedEngineClient(
     vararg replies: OrderReply,
+    private val inventory: EngineInventory? = null,
 ) : EngineClient {
     val replies = ArrayDeque(replies.toList())
     val sentOrders = ArrayList<EngineOrder>()
@@ -12,7 +13,7 @@
     override suspend fun queryInventory(
         server: String,
         address: String,
-    ): EngineInventory? = null
+    ): EngineInventory? = inventory
 
     override suspend fun sendOrder(
         order: EngineOrder,
