Read on when a connection is used again after an answer that was closed unread

A connection that was paused by its last answer went back to the pool paused, and the next request on it waited in vain until its timeout.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -28,11 +28,21 @@
     fun beginExchange(
         readTimeout: Duration,
         onReusable: (serverIdleLimit: Duration?) -> Unit,
-    ): HttpClientResponse =
-        HttpClientResponse(readTimeout, ReceiveWindow { context?.channel()?.config()?.isAutoRead = it }) { reusable, serverIdleLimit ->
-            response = null
-            if (reusable) onReusable(serverIdleLimit) else context?.close()
-        }.also { response = it }
+    ): HttpClientResponse {
+        // The answer before may have been closed unread, with the connection paused.
+        setReading(true)
+        val next =
+            HttpClientResponse(readTimeout, ReceiveWindow(::setReading)) { reusable, serverIdleLimit ->
+                response = null
+                if (reusable) onReusable(serverIdleLimit) else context?.close()
+            }
+        response = next
+        return next
+    }
+
+    private fun setReading(reading: Boolean) {
+        context?.channel()?.config()?.isAutoRead = reading
+    }
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
