--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -16,14 +16,16 @@
     @Volatile
     private var context: ChannelHandlerContext? = null
 
+    /** Number of informational responses in a row. */
+    private var informationalCount = 0
+
+    /** True while the end of an informational response is still to come. */
+    private var isInformational = false
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
 
-    /** Informational responses to the request in progress, and whether the end of one of them is still to come. */
-    private var informationalCount = 0
-    private var isInformational = false
-
     /** Starts an exchange; [onReusable] is called when it has ended and the connection can be reused. */
     fun beginExchange(
         readTimeout: Duration,
--- a/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
@@ -45,7 +46,7 @@
         val report = clusterView.server(decision.server)
         if (report != null && report.phase != ServerPhase.READY) return
         val incarnation = "${decision.server}@${report?.startedAtMillis ?: 0}"
-        val check = scope.async { if (isDown(incarnation, decision.address)) onCrash(incarnation) }
+        val check = scope.launch { if (isDown(incarnation, decision.address)) onCrash(incarnation) }
         withTimeoutOrNull(MAX_WAIT) { check.join() }
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -19,6 +19,8 @@
 ) {
     /** Equal for all repeats of this request, on every instance. */
     val fingerprint: String by lazy { fingerprintOf(request, workspace) }
+
+    /** Keys under which the request may be suspected of crashing servers. */
     val suspectKeys: List<String> by lazy { suspectKeysOf(fingerprint, request) }
     val events = SseEventBuffer(request.lastEventId?.toLongOrNull())
     val excludedServers = HashSet<String>()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -133,7 +133,7 @@
         }
     }
 
-    /** Answers a request that crashes servers, as far as known by its [key], with no time to come back: it will not be run. */
+    /** Refuses a request because [key], one of its suspect keys, is quarantined. Without a retry delay, since it will not be run later. */
     private suspend fun refuseQuarantined(
         exchange: Exchange,
         key: String,
