--- a/kernel/src/main/kotlin/anvilslip/kernel/EventFormat.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/EventFormat.kt
@@ -1,6 +1,7 @@
 package anvilslip.kernel
 
-private val PLAIN = Regex("[A-Za-z0-9_.:/@+\\-$]+")
+/** Characters besides ASCII letters and digits that a value may contain without being quoted. */
+private const val PLAIN_SYMBOLS = "_.:/@+-$"
 
 /**
  * Formats an event as one line `event=NAME key=value ...`. Fields with a null value are omitted. Values with special characters are
@@ -10,13 +11,23 @@
     event: String,
     fields: List<Pair<String, Any?>>,
 ): String {
-    val pairs = listOf("event" to event) + fields
-    return pairs
-        .filter { it.second != null }
-        .joinToString(" ") { (key, value) -> "$key=${escapeValue(value.toString())}" }
+    val line = StringBuilder("event=").append(escapeValue(event))
+    for ((key, value) in fields) {
+        if (value != null) {
+            line
+                .append(' ')
+                .append(key)
+                .append('=')
+                .append(escapeValue(value.toString()))
+        }
+    }
+    return line.toString()
 }
 
-private fun escapeValue(text: String): String = if (PLAIN.matches(text)) text else text.map(::escapeCharacter).joinToString("", "\"", "\"")
+private fun escapeValue(text: String): String = if (isPlain(text)) text else text.map(::escapeCharacter).joinToString("", "\"", "\"")
+
+private fun isPlain(text: String): Boolean =
+    text.isNotEmpty() && text.all { it in 'a'..'z' || it in '0'..'9' || it in 'A'..'Z' || it in PLAIN_SYMBOLS }
 
 private fun escapeCharacter(c: Char): String =
     when {
