Answer long polls of entry instances only for news, tell them of a new leader at once, and forget replaced control instances

Cause: a change of any server woke the polls of all entry instances at all control instances, so that each change was sent five times to each entry instance; and any change at all, also one that the sender knew, ended a poll. A new leader was told of only with the next answer, up to 0.9 s later. A control instance that was replaced for good was polled and connected to for ever (read in the code: WatchService.watched only grew). Change: a poll ends for what the sender lacks; changes that another control instance has heard go with the next answer, within 0.9 s; a later term with a leader ends it at once. ControlInstances forgets hosts that are no seeds and that nobody reports.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ServerReport
@@ -10,7 +11,6 @@
 import anvilslip.state.ConfigurationDocument
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -56,8 +56,10 @@
     private val leaderRef = AtomicReference(Leader(null, 0))
     private val serverTimeout = heartbeat * MISSED_HEARTBEATS + HEARTBEAT_GRACE
 
+    private val controls = ControlInstances(seeds)
+
     @Volatile
-    private var knownControlHosts = seeds
+    private var knownControlHosts = controls.hosts
 
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
@@ -71,18 +73,15 @@
     /** The last known leader; its host is null until one is known. */
     public val leader: Leader get() = leaderRef.get()
 
-    /** Hosts of all known control instances, including the seeds. */
+    /** Hosts of the seeds and of the control instances that were reported recently. */
     public val controlHosts: Set<String> get() = knownControlHosts
 
     /** Increases with each change that must be propagated to other instances at once. */
     public val changeCount: Long get() = changes.value
 
-    /** Waits until [changeCount] exceeds [seenCount], for at most [timeout]. */
-    public suspend fun awaitChange(
-        seenCount: Long,
-        timeout: Duration,
-    ) {
-        withTimeoutOrNull(timeout) { changes.first { it > seenCount } }
+    /** Waits until [changeCount] exceeds [seenCount]. */
+    public suspend fun awaitChange(seenCount: Long) {
+        changes.first { it > seenCount }
     }
 
     /** Applies [document] if it is newer than the active one and can be parsed. */
@@ -123,7 +122,9 @@
         term: Long,
     ) {
         val previous = leaderRef.getAndUpdate { if (term >= it.term) Leader(host, term) else it }
-        if (term > previous.term) log.info("leader_known", "leader" to host, "term" to term, "previous" to previous.host)
+        if (term <= previous.term) return
+        log.info("leader_known", "leader" to host, "term" to term, "previous" to previous.host)
+        signalChange()
     }
 
     /** Records that [control] has heard of [count] entry instances in use. */
@@ -138,12 +139,21 @@
             if (current != previous) log.info("entry_count_changed", "control" to control, "count" to current, "previous" to previous)
         }
 
-    /** Adds control instances that were reported by others or by the settings. */
-    public fun addControlHosts(hosts: Set<String>) {
-        val added = hosts - knownControlHosts
-        if (added.isEmpty()) return
-        synchronized(this) { knownControlHosts = knownControlHosts + hosts }
-        log.info("controls_known", "added" to added.joinToString(","))
+    /** Records that a control instance reports [hosts] as control instances. */
+    public fun recordControlHosts(hosts: Set<String>): Unit = updateControls { it.record(hosts, clock.elapsed()) }
+
+    /** Applies the [seeds] of changed settings. */
+    public fun updateSeeds(seeds: Set<String>): Unit = updateControls { it.seeds = seeds }
+
+    private fun updateControls(change: (ControlInstances) -> Unit) {
+        synchronized(controls) {
+            change(controls)
+            val next = controls.hosts
+            val previous = knownControlHosts
+            if (next == previous) return
+            knownControlHosts = next
+            log.info("controls_changed", "added" to (next - previous).joinToString(","), "removed" to (previous - next).joinToString(","))
+        }
     }
 
     /** Records the report of a backend server; [direct] is true if the server itself sent it to this instance. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -84,8 +84,8 @@
         server.stopAccepting()
     }
 
-    /** Applies the settings that can change at run time: new control instances in the list of seeds. */
-    public fun reload(next: GatewaySettings): Unit = clusterView.addControlHosts(next.seeds)
+    /** Applies the settings that can change at run time: the list of seeds. */
+    public fun reload(next: GatewaySettings): Unit = clusterView.updateSeeds(next.seeds)
 
     /** Stops all services. */
     public suspend fun stop() {
@@ -156,6 +156,7 @@
                     state.document?.let(clusterView::applyDocument)
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
+                onLeaderChange = { leader, term -> clusterView.observeLeader(leader.instance, term) },
             )
         return replica
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -5,6 +5,7 @@
 import anvilslip.policy.EntryTracker
 import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,11 +39,21 @@
         clusterView.suspects.merge(watch.suspects)
         val entry = watch.entry
         if (entry != null) recordEntry(entry) else controlsSeenAt[from] = clock.elapsed()
-        val known = clusterView.changeCount
-        if (watch.waitMillis > 0 && !hasUpdate(watch)) clusterView.awaitChange(known, watch.waitMillis.milliseconds)
+        if (watch.waitMillis > 0) awaitUpdate(watch)
         return reply(watch)
     }
 
+    /** Waits for an update for the sender of [watch], for at most the time that it requests. */
+    private suspend fun awaitUpdate(watch: PeerMessage.Watch) {
+        withTimeoutOrNull(watch.waitMillis.milliseconds) {
+            while (true) {
+                val seen = clusterView.changeCount
+                if (hasUpdate(watch)) break
+                clusterView.awaitChange(seen)
+            }
+        }
+    }
+
     /** Records the suspects that an entry instance reports. */
     public fun recordSuspects(update: PeerMessage.SuspectUpdate): Unit = clusterView.suspects.merge(update.reports)
 
@@ -52,15 +63,20 @@
 
     private fun <T> withEntries(block: EntryTracker.(now: Duration) -> T): T = synchronized(entries) { entries.block(clock.elapsed()) }
 
-    /** True if this instance knows something that the sender of [watch] lacks, or has restarted since the sender's last request. */
+    /**
+     * True if this instance knows something that the sender of [watch] lacks, or has restarted since the sender's last request. Changes of
+     * servers that report to another control instance do not count: that instance tells the sender at once, and this one in its next answer.
+     */
     private fun hasUpdate(watch: PeerMessage.Watch): Boolean {
         val active = clusterView.active
         val version = active.document?.version
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
             (version != null && version > watch.documentVersion) || clusterView.suspects.revision > watch.suspectRevision ||
-            clusterView.hasFleetChangeSince(watch.fleetRevision, directOnly = watch.entry == null)
+            clusterView.hasFleetChangeSince(watch.fleetRevision, directOnly = true) || knowsLaterLeader(watch.term)
     }
 
+    private fun knowsLaterLeader(term: Long): Boolean = replicaView().let { it.leader != null && it.term > term }
+
     private fun reply(watch: PeerMessage.Watch): PeerMessage.WatchReply {
         val isNewIncarnation = watch.incarnation != incarnation
         val since = if (isNewIncarnation) 0 else watch.fleetRevision
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -44,7 +45,7 @@
     override val name: String = NAME
     private val log = EventLogger("watch")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val watched = HashSet<String>()
+    private val watched = ConcurrentHashMap.newKeySet<String>()
 
     override suspend fun start() {
         scope.launch {
@@ -86,14 +87,19 @@
         for (control in clusterView.controlHosts - host - watched) {
             watched += control
             network.connectTo(control, PeerAddress(control, peerPort))
-            scope.launch { watch(control) }
+            scope.launch {
+                watch(control)
+                network.disconnect(control)
+                watched -= control
+            }
         }
     }
 
+    /** Polls [control] until it is no longer known as a control instance. */
     private suspend fun watch(control: String) {
         var position = Position()
         var reachable = false
-        while (true) {
+        while (control in clusterView.controlHosts) {
             val sentAt = clock.elapsed()
             val request = watchRequest(position, if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO)
             val reply = network.call(control, request, ANSWER_TIMEOUT).getOrNull() as? PeerMessage.WatchReply
@@ -120,6 +126,7 @@
             waitMillis = wait.inWholeMilliseconds,
             suspects = if (position.hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports,
             suspectRevision = position.suspectRevision,
+            term = clusterView.leader.term,
         )
     }
 
@@ -133,7 +140,7 @@
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
         clusterView.suspects.merge(reply.suspects)
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
-        clusterView.addControlHosts(reply.controlHosts)
+        clusterView.recordControlHosts(reply.controlHosts)
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
     }
 
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -35,6 +35,8 @@
     private val mayBootstrap: Boolean = true,
     /** Called on the replica's thread with each new replicated state. */
     private val onStateChange: (ReplicatedState) -> Unit = {},
+    /** Called on the replica's thread with each new leader and its term. */
+    private val onLeaderChange: (leader: ReplicaId, term: Long) -> Unit = { _, _ -> },
 ) : Service {
     override val name: String = NAME
 
@@ -211,7 +213,7 @@
     }
 
     private fun publishView() {
-        val before = view.state
+        val before = view
         view =
             ReplicaView(
                 core.id,
@@ -225,7 +227,9 @@
                 core.leaseUntil,
                 core.acknowledgedBy,
             )
-        if (core.state !== before) onStateChange(core.state)
+        if (core.state !== before.state) onStateChange(core.state)
+        val leader = view.leader
+        if (leader != null && (leader != before.leader || view.term != before.term)) onLeaderChange(leader, view.term)
     }
 
     private fun notLeader() = ProposeError.NotLeader(view.leader?.instance)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -232,6 +232,8 @@
         @CborLabel(7) val suspects: List<SuspectReport> = emptyList(),
         /** Revision of the receiver's suspects that the sender knows; refers to [incarnation]. */
         @CborLabel(8) val suspectRevision: Long = 0,
+        /** Latest term whose leader the sender knows; the answer does not wait if the receiver knows a later leader. */
+        @CborLabel(9) val term: Long = Long.MAX_VALUE,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -53,6 +53,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val callIds = AtomicLong()
+    private val linkJobs = ConcurrentHashMap<String, Job>()
     private val links = ConcurrentHashMap(peers.mapValues { (peer, address) -> createLink(peer, address) })
     private var server: ServerSocket? = null
 
@@ -66,7 +67,7 @@
         val socket = aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true }
         server = socket
         scope.launch { acceptConnections(socket) }
-        for (link in links.values) scope.launch { link.run() }
+        for ((peer, link) in links) linkJobs[peer] = scope.launch { link.run() }
         scope.launch { checkConnections() }
     }
 
@@ -77,7 +78,13 @@
     ) {
         if (peer == self || links.containsKey(peer)) return
         val link = createLink(peer, address)
-        if (links.putIfAbsent(peer, link) == null) scope.launch { link.run() }
+        if (links.putIfAbsent(peer, link) == null) linkJobs[peer] = scope.launch { link.run() }
+    }
+
+    /** Closes the connection to [peer], if there is one, and does not open it again. */
+    public fun disconnect(peer: String) {
+        links.remove(peer) ?: return
+        linkJobs.remove(peer)?.cancel()
     }
 
     override suspend fun stop() {
--- a/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
@@ -52,6 +52,24 @@
             }
         }
 
+        describe("a peer that was disconnected") {
+            it("is connected again only when that is asked for") {
+                val ports = listOf(freePort(), freePort())
+                val a = network("a", ports[0], mapOf("b" to ports[1]))
+                val b = network("b", ports[1], mapOf("a" to ports[0]))
+                a.start()
+                b.start()
+                awaitConnected(a, "b") shouldBe true
+                a.disconnect("b")
+                delay(500.milliseconds)
+                a.connectedPeers shouldBe emptySet()
+                a.connectTo("b", PeerAddress("127.0.0.1", ports[1]))
+                awaitConnected(a, "b") shouldBe true
+                a.stop()
+                b.stop()
+            }
+        }
+
         describe("an instance with another secret") {
             it("is not connected in either direction") {
                 val ports = listOf(freePort(), freePort())
