Drop a parameter that only one value was left for, and start links in one place

Found on reading the change: since polls end only for servers that report to the control instance itself, the flag of ClusterView.hasFleetChangeSince was always true; and a link and its job were started by the same line twice. No change of behaviour.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -198,11 +198,8 @@
         sequence: Long,
     ): Unit = synchronized(fleet) { fleet.refresh(id, sequence, clock.elapsed()) }
 
-    /** True if a server has changed after [revision]; if [directOnly], only changes reported to this instance count. */
-    public fun hasFleetChangeSince(
-        revision: Long,
-        directOnly: Boolean,
-    ): Boolean = synchronized(fleet) { fleet.hasChangedSince(revision, directOnly) }
+    /** True if a server that reports to this instance has changed after [revision]. */
+    public fun hasDirectFleetChangeSince(revision: Long): Boolean = synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
 
     private fun publishServerChange(
         report: ServerReport,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -72,7 +72,7 @@
         val version = active.document?.version
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
             (version != null && version > watch.documentVersion) || clusterView.suspects.revision > watch.suspectRevision ||
-            clusterView.hasFleetChangeSince(watch.fleetRevision, directOnly = true) || knowsLaterLeader(watch.term)
+            clusterView.hasDirectFleetChangeSince(watch.fleetRevision) || knowsLaterLeader(watch.term)
     }
 
     private fun knowsLaterLeader(term: Long): Boolean = replicaView().let { it.leader != null && it.term > term }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -67,7 +67,7 @@
         val socket = aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true }
         server = socket
         scope.launch { acceptConnections(socket) }
-        for ((peer, link) in links) linkJobs[peer] = scope.launch { link.run() }
+        for ((peer, link) in links) open(peer, link)
         scope.launch { checkConnections() }
     }
 
@@ -78,7 +78,7 @@
     ) {
         if (peer == self || links.containsKey(peer)) return
         val link = createLink(peer, address)
-        if (links.putIfAbsent(peer, link) == null) linkJobs[peer] = scope.launch { link.run() }
+        if (links.putIfAbsent(peer, link) == null) open(peer, link)
     }
 
     /** Closes the connection to [peer], if there is one, and does not open it again. */
@@ -119,6 +119,13 @@
         return answer?.right() ?: PeerError.NoAnswer(peer).left()
     }
 
+    private fun open(
+        peer: String,
+        link: PeerLink,
+    ) {
+        linkJobs[peer] = scope.launch { link.run() }
+    }
+
     private suspend fun checkConnections() {
         while (true) {
             delay(options.silenceTimeout / LIVENESS_CHECKS_PER_TIMEOUT)
