--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -199,7 +199,8 @@
     ): Unit = synchronized(fleet) { fleet.refresh(id, sequence, clock.elapsed()) }
 
     /** True if a server that reports to this instance has changed after [revision]. */
-    public fun hasDirectFleetChangeSince(revision: Long): Boolean = synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
+    public fun hasDirectFleetChangeSince(revision: Long): Boolean =
+        synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
 
     private fun publishServerChange(
         report: ServerReport,
