--- a/review/stand/ManyDeadly.java
+++ b/review/stand/ManyDeadly.java
@@ -35,7 +35,7 @@
     private static final int WARM_UP_MILLIS = 6000;
     private static final int PLAY_MILLIS = 98_000;
 
-    private static final Map<String, List<Long>> runsByRequest = new ConcurrentHashMap<>();
+    private static final Map<String, List<Long>> crashesByRequest = new ConcurrentHashMap<>();
     private static final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
     private static PrintWriter record;
     private static volatile boolean stopped;
@@ -100,9 +100,9 @@
                 return;
             }
             if (body.startsWith("deadly")) {
-                runsByRequest.computeIfAbsent(body, k -> new CopyOnWriteArrayList<>()).add(System.currentTimeMillis());
                 note("ran %s at %s for %s", body, self[0].id, request.header("x-attempt-id"));
                 if (trouble) {
+                    crashesByRequest.computeIfAbsent(body, k -> new CopyOnWriteArrayList<>()).add(System.currentTimeMillis());
                     crash(cluster, self[0], name, boot);
                     throw new IOException("crashed");
                 }
@@ -194,12 +194,12 @@
     private static boolean judge() {
         outcomes.forEach((outcome, count) -> note("outcome %s: %d", outcome, count.get()));
         int broken = 0;
-        for (Map.Entry<String, List<Long>> entry : runsByRequest.entrySet()) {
-            List<Long> runs = new ArrayList<>(entry.getValue());
-            runs.sort(null);
-            if (runs.size() < 3) continue;
-            long late = runs.stream().filter(at -> at > runs.get(2) + CONTACT_MILLIS).count();
-            note("%s ran %d times, %d of them later than %d ms after the third", entry.getKey(), runs.size(), late, CONTACT_MILLIS);
+        for (Map.Entry<String, List<Long>> entry : crashesByRequest.entrySet()) {
+            List<Long> crashes = new ArrayList<>(entry.getValue());
+            crashes.sort(null);
+            if (crashes.size() < 3) continue;
+            long late = crashes.stream().filter(at -> at > crashes.get(2) + CONTACT_MILLIS).count();
+            note("%s crashed %d runners, %d of them later than %d ms after the third", entry.getKey(), crashes.size(), late, CONTACT_MILLIS);
             if (late > MAX_LATE_RETRIES) broken++;
         }
         note("%d requests break the rule", broken);
