Read and write the files of a replica through one buffer of fixed size

Cause: the log is read with a single call, for which the JDK takes a direct buffer of the size of the whole file. With 54 MB of log and the 32 MB of direct memory that deploy/java.options allows, recovery fails at each start.

Ruled out: damage of the file (the same log is read with more direct memory); a larger limit (it only moves the size that fails).

Change: StorageBuffer holds one direct buffer of 1 MiB for reading and writing; records are read one at a time from StoredFile. A batch that takes several writes is synced after each, so that still only a prefix of it can survive a power loss.

--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -2,7 +2,6 @@
 
 import anvilslip.state.RecordCodec.Decoded
 import java.io.IOException
-import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
@@ -13,7 +12,6 @@
 import kotlin.io.path.exists
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.name
-import kotlin.io.path.readBytes
 import kotlin.io.path.readText
 
 /**
@@ -28,6 +26,7 @@
     private val folder: Path,
     private val onSync: () -> Unit = {},
 ) : Storage {
+    private val buffer = StorageBuffer()
     private var log: FileChannel? = null
     private var vote = Vote()
     private var generation = 0L
@@ -111,40 +110,44 @@
 
     private fun append(records: List<StoredRecord>) {
         val channel = checkNotNull(log) { "storage is closed" }
-        // A single write, so that after a power loss only a prefix of the records can be in the file.
-        val frames = ByteBuffer.wrap(encode(records))
-        while (frames.hasRemaining()) channel.write(frames)
-        channel.force(false)
-        onSync()
+        buffer.append(channel, encode(records)) {
+            channel.force(false)
+            onSync()
+        }
     }
 
-    private fun encode(records: List<StoredRecord>): ByteArray =
-        records.map { RecordCodec.encode(StoredRecord.serializer(), it) }.fold(ByteArray(0), ByteArray::plus)
+    private fun encode(records: List<StoredRecord>): Sequence<ByteArray> =
+        records.asSequence().flatMap { RecordCodec.encode(StoredRecord.serializer(), it) }
 
     private fun readIdentity(): String {
         val path = folder.resolve("identity")
         if (path.exists()) return path.readText().trim()
         val identity = UUID.randomUUID().toString()
-        replaceFile("identity", identity.toByteArray())
+        replaceFile("identity", sequenceOf(identity.toByteArray()))
         return identity
     }
 
     private fun readSnapshot(): Snapshot? {
         val path = folder.resolve("snapshot")
         if (!path.exists()) return null
-        val decoded = RecordCodec.decode(Snapshot.serializer(), ByteBuffer.wrap(path.readBytes()))
+        val decoded = buffer.read(path) { RecordCodec.decode(Snapshot.serializer(), it) }
         return (decoded as? Decoded.Complete)?.value ?: throw StorageException("$path is damaged")
     }
 
-    private fun readLog(path: Path): LogContents {
-        val bytes = ByteBuffer.wrap(path.readBytes())
+    private fun readLog(path: Path): LogContents = buffer.read(path) { readRecords(it, path) }
+
+    private fun readRecords(
+        file: StoredFile,
+        path: Path,
+    ): LogContents {
         var vote = Vote()
         val entries = ArrayList<LogEntry>()
-        while (bytes.hasRemaining()) {
-            when (val decoded = RecordCodec.decode(StoredRecord.serializer(), bytes)) {
+        while (file.remaining > 0) {
+            val start = file.position
+            when (val decoded = RecordCodec.decode(StoredRecord.serializer(), file)) {
                 is Decoded.Complete -> vote = applyRecord(decoded.value, entries) ?: vote
-                Decoded.Torn -> return LogContents(vote, entries).also { truncateFile(path, bytes.position()) }
-                Decoded.Damaged -> throw StorageException("$path is damaged at byte ${bytes.position()}")
+                Decoded.Torn -> return LogContents(vote, entries).also { truncateFile(path, start) }
+                Decoded.Damaged -> throw StorageException("$path is damaged at byte $start")
             }
         }
         return LogContents(vote, entries)
@@ -164,10 +167,10 @@
 
     private fun truncateFile(
         path: Path,
-        length: Int,
+        length: Long,
     ) {
         FileChannel.open(path, StandardOpenOption.WRITE).use {
-            it.truncate(length.toLong())
+            it.truncate(length)
             it.force(true)
         }
     }
@@ -189,16 +192,12 @@
 
     private fun replaceFile(
         name: String,
-        bytes: ByteArray,
+        content: Sequence<ByteArray>,
     ) {
         val temporary = folder.resolve("$name.tmp")
         FileChannel
             .open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)
-            .use {
-                val buffer = ByteBuffer.wrap(bytes)
-                while (buffer.hasRemaining()) it.write(buffer)
-                it.force(true)
-            }
+            .use { file -> buffer.append(file, content) { file.force(true) } }
         Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
         syncFolder()
     }
--- a/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
@@ -31,32 +31,31 @@
     private const val MAX_RECORD_BYTES = 256 * 1024 * 1024
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
+    /** Encodes [value] as a header and a body, which follow each other in the file. */
     fun <T> encode(
         serializer: KSerializer<T>,
         value: T,
-    ): ByteArray {
+    ): Sequence<ByteArray> {
         val body = cbor.encodeToByteArray(serializer, value)
-        val frame = ByteBuffer.allocate(HEADER_BYTES + body.size)
-        frame.putInt(body.size).putInt(checksum(body))
-        frame.putInt(checksum(frame.array().copyOf(CHECKED_HEADER_BYTES))).put(body)
-        return frame.array()
+        val header = ByteBuffer.allocate(HEADER_BYTES).putInt(body.size).putInt(checksum(body))
+        header.putInt(checksum(header.array().copyOf(CHECKED_HEADER_BYTES)))
+        return sequenceOf(header.array(), body)
     }
 
-    /** Decodes the record at the position of [bytes], and moves the position past the record if it is complete. */
+    /** Reads the next record of [file]. */
     fun <T> decode(
         serializer: KSerializer<T>,
-        bytes: ByteBuffer,
+        file: StoredFile,
     ): Decoded<T> {
-        if (bytes.remaining() < HEADER_BYTES) return Decoded.Torn
-        val start = bytes.position()
-        val header = ByteArray(CHECKED_HEADER_BYTES).also { bytes.get(start, it) }
-        val length = bytes.getInt(start)
-        val headerValid = checksum(header) == bytes.getInt(start + CHECKED_HEADER_BYTES) && length in 0..MAX_RECORD_BYTES
-        if (!headerValid) return if (isZeroFrom(bytes, start + HEADER_BYTES)) Decoded.Torn else Decoded.Damaged
-        if (bytes.remaining() - HEADER_BYTES < length) return Decoded.Torn
-        val body = ByteArray(length).also { bytes.get(start + HEADER_BYTES, it) }
-        if (checksum(body) != bytes.getInt(start + Int.SIZE_BYTES)) return if (isTornTail(bytes, body)) Decoded.Torn else Decoded.Damaged
-        bytes.position(start + HEADER_BYTES + length)
+        if (file.remaining < HEADER_BYTES) return Decoded.Torn
+        val header = ByteBuffer.wrap(file.read(HEADER_BYTES))
+        val length = header.getInt()
+        val bodyChecksum = header.getInt()
+        val headerValid = checksum(header.array().copyOf(CHECKED_HEADER_BYTES)) == header.getInt() && length in 0..MAX_RECORD_BYTES
+        if (!headerValid) return if (file.isZeroToEnd()) Decoded.Torn else Decoded.Damaged
+        if (file.remaining < length) return Decoded.Torn
+        val body = file.read(length)
+        if (checksum(body) != bodyChecksum) return if (isTornTail(file, body)) Decoded.Torn else Decoded.Damaged
         return decodeBody(serializer, body)
     }
 
@@ -77,15 +76,9 @@
      * written. A complete record never ends in a zero byte, because the CBOR encoding of a class ends with a break byte.
      */
     private fun isTornTail(
-        bytes: ByteBuffer,
+        file: StoredFile,
         body: ByteArray,
-    ): Boolean = bytes.remaining() == HEADER_BYTES + body.size && body.lastOrNull() == 0.toByte()
-
-    /** Returns true if all bytes from [from] on are zero, as after a power loss while the header was written. */
-    private fun isZeroFrom(
-        bytes: ByteBuffer,
-        from: Int,
-    ): Boolean = (from until bytes.limit()).all { bytes.get(it) == 0.toByte() }
+    ): Boolean = file.remaining == 0L && body.lastOrNull() == 0.toByte()
 
     private fun checksum(body: ByteArray): Int = CRC32C().apply { update(body) }.value.toInt()
 }
--- a/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/FileStorageSpec.kt
@@ -2,9 +2,12 @@
 
 import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import java.io.RandomAccessFile
+import java.lang.management.BufferPoolMXBean
+import java.lang.management.ManagementFactory
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.fileSize
@@ -101,6 +104,61 @@
             }
         }
 
+        describe("files that are larger than the direct memory of the process") {
+            val megabyte = 1024 * 1024
+            val documents = (1..40L).map { ConfigurationDocument(it, "$it".padEnd(megabyte, 'x')) }
+
+            fun directBytes() =
+                ManagementFactory.getPlatformMXBeans(BufferPoolMXBean::class.java).single { it.name == "direct" }.totalCapacity
+
+            fun replace(
+                index: Long,
+                document: ConfigurationDocument,
+            ) = LogEntry(index, 1, Payload.Apply(Command.ReplaceDocument(document), index))
+
+            // Guards against control instances that cannot start again, since reading their log takes more direct memory than there is.
+            it("are written and read with little direct memory") {
+                val folder = folder()
+                val before = directBytes()
+                val entries = documents.map { replace(it.version, it) }
+                FileStorage(folder).use { storage ->
+                    storage.recover()
+                    entries.chunked(8).forEach { storage.store(ReplicaOutput(append = it)) }
+                }
+                val recovered = FileStorage(folder).use { it.recover() }
+                (directBytes() - before) shouldBeLessThan 8L * megabyte
+                recovered.entries shouldBe entries
+            }
+
+            it("are compacted with little direct memory") {
+                val folder = folder()
+                val before = directBytes()
+                val snapshot = Snapshot(1, 1, setOf(ReplicaId("a", "x")), ReplicatedState(document = documents.first()))
+                val tail = documents.drop(1).map { replace(it.version, it) }
+                FileStorage(folder).use { storage ->
+                    storage.recover()
+                    storage.compact(snapshot, tail)
+                }
+                (directBytes() - before) shouldBeLessThan 8L * megabyte
+                FileStorage(folder).use { it.recover() }.entries shouldBe tail
+            }
+        }
+
+        describe("a batch that takes several writes") {
+            // Guards against entries that are stored although ones before them are missing: writes that were not synced may survive singly.
+            it("is synced after each of them") {
+                var syncs = 0
+                FileStorage(folder(), onSync = { syncs++ }).use { storage ->
+                    storage.recover()
+                    storage.store(ReplicaOutput(append = listOf(entry(1))))
+                    syncs shouldBe 1
+                    val document = ConfigurationDocument(1, "x".repeat(3_000_000))
+                    storage.store(ReplicaOutput(append = listOf(LogEntry(2, 1, Payload.Apply(Command.ReplaceDocument(document), 0)))))
+                    syncs shouldBe 4
+                }
+            }
+        }
+
         describe("a flipped bit anywhere") {
             it("is reported as damage") {
                 val undamaged = folder()
