Bound what a replica keeps and queues by bytes

At 1.1 MB an entry the log alone takes 88 MB of the 112 MB heap. Documents of concurrent changes were parsed at the same time, each into several times its size. A batch was encoded in one record and copied once for each further record.

Ruled out: a leak (the memory is held by the retained entries); a larger heap (it moves the number of changes).

Messages to followers have a limit in bytes, and no more is sent to a follower that has not acknowledged. SizedQueue bounds the inputs of a replica and the messages for a peer by bytes. The leader rejects commands while its log is full. Documents are parsed one at a time. Records of the log are encoded one after the other, each of about 1 MiB.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -17,6 +17,8 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -32,6 +34,9 @@
     private val log = EventLogger("control")
     private val startedAt = clock.elapsed()
 
+    /** Allows one document at a time to be parsed, since the parsed form of a large one takes several times its size. */
+    private val parsing = Mutex()
+
     /** Why replacing the document was not acknowledged. */
     public sealed interface DocumentError {
         /** The document was rejected. */
@@ -45,9 +50,9 @@
 
     /** Replaces the configuration by the document [text]; returns the version that is active afterwards, which may be a newer one. */
     public suspend fun replaceDocument(text: String): Either<DocumentError, Long> {
-        val configuration = dialect.parse(text).getOrElse { return rejectInvalid(it).left() }
-        val outcome = propose(Command.ReplaceDocument(ConfigurationDocument(configuration.version, text)))
-        log.info("document_proposed", "version" to configuration.version, "outcome" to outcome, "term" to replica.view.term)
+        val version = parsing.withLock { dialect.parse(text).map { it.version } }.getOrElse { return rejectInvalid(it).left() }
+        val outcome = propose(Command.ReplaceDocument(ConfigurationDocument(version, text)))
+        log.info("document_proposed", "version" to version, "outcome" to outcome, "term" to replica.view.term)
         return when (outcome) {
             is Outcome.DocumentInForce -> outcome.version.right()
             is Outcome.DocumentSuperseded -> outcome.inForce.right()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -142,7 +142,6 @@
                 network.connectTo(to.instance, PeerAddress(to.instance, settings.peerPort))
                 network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message))
             }
-        val voters = settings.toleratedLosses * 2 + 1
         replica =
             Replica(
                 instance = settings.host,
@@ -150,7 +149,7 @@
                 storage = RecoveringStorage(settings.dataFolder!!, ::logStorageDamage) { metrics.syncs.inc() },
                 transport = transport,
                 clock = clock,
-                options = ReplicaOptions(voterTarget = voters, entriesBetweenSnapshots = SNAPSHOT_EVERY, retainedEntries = KEPT_ENTRIES),
+                options = replicaOptions(voterTarget = settings.toleratedLosses * 2 + 1),
                 mayBootstrap = settings.mayFound,
                 onStateChange = { state ->
                     state.document?.let(clusterView::applyDocument)
@@ -161,6 +160,15 @@
         return replica
     }
 
+    private fun replicaOptions(voterTarget: Int) =
+        ReplicaOptions(
+            voterTarget = voterTarget,
+            entriesBetweenSnapshots = SNAPSHOT_EVERY,
+            bytesBetweenSnapshots = SNAPSHOT_EVERY_BYTES,
+            retainedEntries = KEPT_ENTRIES,
+            maxLogBytes = MAX_LOG_BYTES,
+        )
+
     private fun logStorageDamage(
         reason: String?,
         keptIn: Path,
@@ -220,6 +228,10 @@
         /** Documents can be large, so snapshots are frequent and few entries are kept in memory and in the log. */
         const val SNAPSHOT_EVERY = 64
         const val KEPT_ENTRIES = 16
+        const val SNAPSHOT_EVERY_BYTES = 8L * 1024 * 1024
+
+        /** Leaves most of the heap of a control instance to requests and messages. */
+        const val MAX_LOG_BYTES = 32L * 1024 * 1024
 
         /** Instances may briefly differ in the number of entry instances that they know, so each uses less than its share of the budget. */
         const val BUDGET_SAFETY = 0.7
--- a/state/src/main/kotlin/anvilslip/state/AppliedState.kt
+++ b/state/src/main/kotlin/anvilslip/state/AppliedState.kt
@@ -16,6 +16,10 @@
     var lastApplied: Long = commit
         private set
 
+    /** Size of the entries that were applied since the latest snapshot, in bytes. */
+    var bytesSinceSnapshot: Long = 0
+        private set
+
     /** Commits the entries of [log] up to [index] and applies them; returns those that were applied. */
     fun commitUpTo(
         index: Long,
@@ -25,6 +29,7 @@
         val applied = mutableListOf<ReplicaOutput.Applied>()
         while (lastApplied < commit) {
             val entry = log.entry(++lastApplied)
+            bytesSinceSnapshot += entry.sizeBytes
             applied += ReplicaOutput.Applied(entry.index, entry.term, apply(entry.payload))
         }
         return applied
@@ -35,6 +40,12 @@
         commit = snapshot.index
         lastApplied = snapshot.index
         state = snapshot.state
+        bytesSinceSnapshot = 0
+    }
+
+    /** Records that a snapshot of the state was taken. */
+    fun recordSnapshot() {
+        bytesSinceSnapshot = 0
     }
 
     private fun apply(payload: Payload): Outcome? =
--- a/state/src/main/kotlin/anvilslip/state/Change.kt
+++ b/state/src/main/kotlin/anvilslip/state/Change.kt
@@ -3,9 +3,15 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
+/** Approximate size of an adapter with a few versions. */
+private const val ADAPTER_BYTES = 256
+
 /** A change of the [Configuration]. */
 @Serializable
 public sealed interface Change {
+    /** Approximate size in bytes of the lists in the change; 0 if it has none. */
+    public val contentBytes: Int get() = 0
+
     /** Creates or replaces a workspace. */
     @Serializable
     @SerialName("put_workspace")
@@ -39,7 +45,9 @@
     @SerialName("put_adapters")
     public data class PutAdapters(
         val adapters: List<Adapter>,
-    ) : Change
+    ) : Change {
+        override val contentBytes: Int get() = adapters.size * ADAPTER_BYTES
+    }
 
     /** Removes an adapter. */
     @Serializable
--- a/state/src/main/kotlin/anvilslip/state/Command.kt
+++ b/state/src/main/kotlin/anvilslip/state/Command.kt
@@ -6,6 +6,9 @@
 /** A command that is replicated through the log and applied to the [ReplicatedState] of every replica. */
 @Serializable
 public sealed interface Command {
+    /** Approximate size in bytes of the content that came from outside; 0 if the size of the command is small and fixed. */
+    public val contentBytes: Int get() = 0
+
     /** Changes the configuration, provided that its revision is [expectedRevision]; null accepts any revision. */
     @Serializable
     @SerialName("configure")
@@ -13,7 +16,9 @@
         val change: Change,
         val requestId: String,
         val expectedRevision: Long? = null,
-    ) : Command
+    ) : Command {
+        override val contentBytes: Int get() = change.contentBytes
+    }
 
     /** Claims a non-idempotent request before it is sent; the request may run for at most [lifetimeMillis]. */
     @Serializable
@@ -32,7 +37,9 @@
         val key: ClaimKey,
         val holder: String,
         val answer: StoredAnswer,
-    ) : Command
+    ) : Command {
+        override val contentBytes: Int get() = answer.body?.length ?: 0
+    }
 
     /** Releases the claim on a request that was not sent. */
     @Serializable
@@ -76,7 +83,9 @@
     @SerialName("replace_document")
     public data class ReplaceDocument(
         val document: ConfigurationDocument,
-    ) : Command
+    ) : Command {
+        override val contentBytes: Int get() = document.text.length
+    }
 
     /** Records [version] as the newest one of [adapter], unless a higher version is recorded already. */
     @Serializable
--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -57,13 +57,8 @@
             if (installed != null) {
                 compactTo(installed, emptyList())
             } else {
-                val records =
-                    listOfNotNull(
-                        output.truncateFrom?.let(StoredRecord::Truncate),
-                        output.append.takeIf { it.isNotEmpty() }?.let(StoredRecord::Entries),
-                        output.vote?.let(StoredRecord::Voted),
-                    )
-                if (records.isNotEmpty()) append(records)
+                val before = listOfNotNull(output.truncateFrom?.let(StoredRecord::Truncate))
+                append(before.asSequence() + entryRecords(output.append) + listOfNotNull(output.vote?.let(StoredRecord::Voted)))
             }
         }
 
@@ -101,14 +96,13 @@
         val previousPath = logPath(generation)
         generation++
         val next = logPath(generation)
-        val records = listOfNotNull(StoredRecord.Voted(vote), StoredRecord.Entries(tail).takeIf { tail.isNotEmpty() })
-        replaceFile(next.name, encode(records))
+        replaceFile(next.name, encode(sequenceOf(StoredRecord.Voted(vote)) + entryRecords(tail)))
         log = FileChannel.open(next, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
         previous?.close()
         previousPath.deleteIfExists()
     }
 
-    private fun append(records: List<StoredRecord>) {
+    private fun append(records: Sequence<StoredRecord>) {
         val channel = checkNotNull(log) { "storage is closed" }
         buffer.append(channel, encode(records)) {
             channel.force(false)
@@ -116,8 +110,12 @@
         }
     }
 
-    private fun encode(records: List<StoredRecord>): Sequence<ByteArray> =
-        records.asSequence().flatMap { RecordCodec.encode(StoredRecord.serializer(), it) }
+    /** Records of limited size, each of which is encoded only when its turn comes, so that a long list does not take twice its size. */
+    private fun entryRecords(entries: List<LogEntry>): Sequence<StoredRecord> =
+        entries.batches(ENTRY_RECORD_BYTES).map { StoredRecord.Entries(it) }
+
+    private fun encode(records: Sequence<StoredRecord>): Sequence<ByteArray> =
+        records.flatMap { RecordCodec.encode(StoredRecord.serializer(), it) }
 
     private fun readIdentity(): String {
         val path = folder.resolve("identity")
@@ -205,4 +203,8 @@
     private fun syncFolder() {
         FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
     }
+
+    private companion object {
+        const val ENTRY_RECORD_BYTES = 1024L * 1024
+    }
 }
--- a/state/src/main/kotlin/anvilslip/state/Followers.kt
+++ b/state/src/main/kotlin/anvilslip/state/Followers.kt
@@ -13,18 +13,58 @@
 ) {
     /** Replication progress of one replica. */
     class Progress(
-        /** Index of the next entry to send. */
-        var nextIndex: Long,
+        nextIndex: Long,
         var lastReply: Duration,
     ) {
+        private class Sent(
+            val lastIndex: Long,
+            val bytes: Long,
+        )
+
+        private val unacknowledged = ArrayDeque<Sent>()
+
+        /** Index of the next entry to send. */
+        var nextIndex: Long = nextIndex
+            private set
+
         /** Index up to which the replica's log is known to match the leader's. */
         var matchIndex: Long = 0
+            private set
+
+        /** Size of the entries that were sent and not acknowledged yet, in bytes. */
+        var unacknowledgedBytes: Long = 0
+            private set
 
         /** Last round that the replica confirmed. */
         var confirmedRound: Long = 0
 
         /** Time at which a snapshot was sent that the replica has not acknowledged yet; null if there is none. */
         var snapshotSentAt: Duration? = null
+
+        /** Records that [entries], which start at [nextIndex], were sent. */
+        fun recordSent(entries: List<LogEntry>) {
+            if (entries.isEmpty()) return
+            nextIndex += entries.size
+            val sent = Sent(nextIndex - 1, entries.sumOf { it.sizeBytes.toLong() })
+            unacknowledged.addLast(sent)
+            unacknowledgedBytes += sent.bytes
+        }
+
+        /** Records that the replica's log matches the leader's up to [index]. */
+        fun recordMatch(index: Long) {
+            matchIndex = maxOf(matchIndex, index)
+            nextIndex = maxOf(nextIndex, matchIndex + 1)
+            while (unacknowledged.isNotEmpty() && unacknowledged.first().lastIndex <= matchIndex) {
+                unacknowledgedBytes -= unacknowledged.removeFirst().bytes
+            }
+        }
+
+        /** Continues with the entry after [index], because the replica lacks the entries that were sent later. */
+        fun resumeAfter(index: Long) {
+            nextIndex = index + 1
+            unacknowledged.clear()
+            unacknowledgedBytes = 0
+        }
     }
 
     private val progress = mutableMapOf<ReplicaId, Progress>()
--- a/state/src/main/kotlin/anvilslip/state/Payload.kt
+++ b/state/src/main/kotlin/anvilslip/state/Payload.kt
@@ -6,6 +6,9 @@
 /** Content of a [LogEntry]. */
 @Serializable
 public sealed interface Payload {
+    /** Approximate size in bytes of the content that came from outside. */
+    public val contentBytes: Int get() = 0
+
     /** The first entry of a leader's term. Once it is committed, all entries of earlier terms are committed too. */
     @Serializable
     @SerialName("noop")
@@ -17,7 +20,9 @@
     public data class Apply(
         val command: Command,
         val atMillis: Long,
-    ) : Payload
+    ) : Payload {
+        override val contentBytes: Int get() = command.contentBytes
+    }
 
     /** Changes the set of voters. Takes effect when the entry is appended to the log, before it is committed. */
     @Serializable
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -3,6 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.SizedQueue
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
@@ -12,7 +13,6 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
@@ -41,15 +41,22 @@
     override val name: String = NAME
 
     private sealed interface Input {
+        /** Approximate size of what the input carries, in bytes. */
+        val contentBytes: Int
+
         class Message(
             val from: ReplicaId,
             val message: ReplicaMessage,
-        ) : Input
+        ) : Input {
+            override val contentBytes = message.contentBytes
+        }
 
         class Proposal(
             val command: Command,
             val result: CompletableDeferred<Either<ProposeError, Outcome>>,
-        ) : Input
+        ) : Input {
+            override val contentBytes = command.contentBytes
+        }
     }
 
     private class PendingProposal(
@@ -58,7 +65,7 @@
     )
 
     private val log = EventLogger("replica")
-    private val inputs = Channel<Input>(QUEUE_LENGTH)
+    private val inputs = SizedQueue<Input>(QUEUE_LENGTH, QUEUE_BYTES) { it.contentBytes }
     private val pendingProposals = HashMap<Long, PendingProposal>()
     private lateinit var core: ReplicaCore
     private lateinit var scope: CoroutineScope
@@ -94,7 +101,7 @@
     /** Replicates [command] and returns its outcome once it is applied. */
     public suspend fun propose(command: Command): Either<ProposeError, Outcome> {
         val result = CompletableDeferred<Either<ProposeError, Outcome>>()
-        if (!inputs.trySend(Input.Proposal(command, result)).isSuccess) return notLeader().left()
+        if (!inputs.trySend(Input.Proposal(command, result))) return notLeader().left()
         return withTimeoutOrNull(PROPOSE_TIMEOUT) { result.await() } ?: ProposeError.Unknown.left()
     }
 
@@ -169,7 +176,7 @@
                 is Input.Message -> execute(core.receive(input.from, input.message, clock.elapsed()))
                 is Input.Proposal -> proposals += input
             }
-            input = inputs.tryReceive().getOrNull()
+            input = inputs.tryReceive()
         }
         if (input != null) (input as? Input.Proposal)?.let { proposals += it } ?: receiveMessage(input)
         if (proposals.isNotEmpty()) propose(proposals)
@@ -183,7 +190,8 @@
     }
 
     private fun propose(proposals: List<Input.Proposal>) {
-        if (core.role != ReplicaRole.LEADER) {
+        if (core.role != ReplicaRole.LEADER || core.isLogFull) {
+            if (core.isLogFull) log.warn("log_full", "index" to core.lastIndex, "commit" to core.commitIndex, "rejected" to proposals.size)
             proposals.forEach { it.result.complete(notLeader().left()) }
             return
         }
@@ -238,6 +246,7 @@
         /** Name in the service registry. */
         public const val NAME: String = "replica"
         private const val QUEUE_LENGTH = 10_000
+        private const val QUEUE_BYTES = 16L * 1024 * 1024
         private const val MAX_BATCH = 256
         private val REOPEN_INTERVAL: Duration = 500.milliseconds
         private val TICK: Duration = 50.milliseconds
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -62,6 +62,9 @@
     /** Voters according to the latest membership entry in the log, whether or not it is committed. */
     public val currentVoters: Set<ReplicaId> get() = voters
 
+    /** True if the log holds so many bytes, most of them not committed yet, that it should not grow further. */
+    public val isLogFull: Boolean get() = log.bytes >= options.maxLogBytes
+
     /** True until this replica knows the voters, that is, until it has a log. */
     public val isUninitialized: Boolean get() = voters.isEmpty()
 
@@ -121,9 +124,12 @@
     public fun snapshotIfDue(): Snapshot? {
         val lastSnapshotIndex = log.snapshot?.index ?: 0
         val index = applied.lastApplied
-        if (index - lastSnapshotIndex < options.entriesBetweenSnapshots) return null
+        val isDue =
+            index - lastSnapshotIndex >= options.entriesBetweenSnapshots || applied.bytesSinceSnapshot >= options.bytesBetweenSnapshots
+        if (!isDue) return null
         val snapshot = Snapshot(index, log.termAt(index)!!, votersAt(index), state)
-        log.compact(snapshot, options.retainedEntries)
+        log.compact(snapshot, options.retainedEntries, options.retainedBytes)
+        applied.recordSnapshot()
         return snapshot
     }
 
@@ -341,11 +347,15 @@
             sendSnapshot(to, progress, snapshot, now)
             return
         }
-        val entries = log.from(progress.nextIndex, options.maxEntriesPerAppend)
+        val entries = if (mayTakeMore(progress)) entriesFrom(progress.nextIndex) else emptyList()
         send(to, ReplicaMessage.Append(term, previous, previousTerm, entries, commitIndex, followers.lastRound))
-        progress.nextIndex += entries.size
+        progress.recordSent(entries)
     }
 
+    private fun entriesFrom(index: Long): List<LogEntry> = log.from(index, options.maxEntriesPerAppend).takeBytes(options.maxBytesPerAppend)
+
+    private fun mayTakeMore(progress: Followers.Progress): Boolean = progress.unacknowledgedBytes < options.maxUnacknowledgedBytes
+
     private fun sendSnapshot(
         to: ReplicaId,
         progress: Followers.Progress,
@@ -434,7 +444,7 @@
         if (role != ReplicaRole.LEADER || reply.term != term || progress == null) return
         progress.lastReply = now
         progress.confirmedRound = maxOf(progress.confirmedRound, reply.round)
-        if (reply.accepted) onMatch(from, progress, reply.matchIndex, now) else progress.nextIndex = reply.matchIndex + 1
+        if (reply.accepted) onMatch(from, progress, reply.matchIndex, now) else progress.resumeAfter(reply.matchIndex)
         if (!reply.accepted) sendEntries(from, progress, now)
         followers.confirmRounds(::isQuorum)
     }
@@ -446,10 +456,10 @@
         now: Duration,
     ) {
         progress.snapshotSentAt = null
-        progress.matchIndex = maxOf(progress.matchIndex, matchIndex)
-        progress.nextIndex = maxOf(progress.nextIndex, progress.matchIndex + 1)
+        progress.recordMatch(matchIndex)
         advanceCommit(now)
-        if (followers[from] === progress && progress.nextIndex <= log.lastIndex) sendEntries(from, progress, now)
+        val hasMore = progress.nextIndex <= log.lastIndex && mayTakeMore(progress)
+        if (followers[from] === progress && hasMore) sendEntries(from, progress, now)
     }
 
     private fun advanceCommit(now: Duration) {
--- a/state/src/main/kotlin/anvilslip/state/ReplicaMessage.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaMessage.kt
@@ -13,6 +13,9 @@
     /** Term of the sender. */
     public val term: Long
 
+    /** Approximate size in bytes of the entries or the state that the message carries. */
+    public val contentBytes: Int get() = 0
+
     /**
      * Asks for a vote. With [preVote], only asks whether the vote would be granted, so that a partitioned replica does not
      * increase the term.
@@ -53,7 +56,9 @@
         @CborLabel(4) val entries: List<LogEntry>,
         @CborLabel(5) val commit: Long,
         @CborLabel(6) val round: Long,
-    ) : ReplicaMessage
+    ) : ReplicaMessage {
+        override val contentBytes: Int get() = entries.sumOf { it.sizeBytes }
+    }
 
     /**
      * Reply to an [Append] or [InstallSnapshot].
@@ -77,7 +82,9 @@
         @CborLabel(1) override val term: Long,
         @CborLabel(2) val snapshot: Snapshot,
         @CborLabel(3) val round: Long,
-    ) : ReplicaMessage
+    ) : ReplicaMessage {
+        override val contentBytes: Int get() = snapshot.state.contentBytes
+    }
 
     /** Asks the leader to add the sender to the voters. */
     @Serializable
--- a/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
@@ -24,6 +24,9 @@
     /** Increases with each change of [namedVersions]. */
     val namedRevision: Long = 0,
 ) {
+    /** Approximate size in bytes of the largest part of the state, the document. */
+    internal val contentBytes: Int get() = document?.text?.length ?: 0
+
     /** Returns the state and the outcome after [command] is applied; [atMillis] is its time in milliseconds since the epoch. */
     public fun apply(
         command: Command,
--- a/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
@@ -2,9 +2,9 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.kernel.SizedQueue
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
@@ -34,7 +34,7 @@
     )
 
     private val log = EventLogger("peer")
-    private val outgoing = Channel<Frame>(options.queueLength)
+    private val outgoing = SizedQueue<Frame>(options.queueLength, options.queueBytes) { it.message.contentBytes }
     private val calls = ConcurrentHashMap<Long, PendingCall>()
 
     @Volatile
@@ -49,7 +49,7 @@
     val isConnected: Boolean get() = currentConnection != null
 
     /** Queues [frame]. Returns false if the queue is full. */
-    fun send(frame: Frame): Boolean = outgoing.trySend(frame).isSuccess
+    fun send(frame: Frame): Boolean = outgoing.trySend(frame)
 
     /** Sends [frame] and waits for its answer. Returns null if the queue is full or the connection is lost first. */
     suspend fun call(frame: Frame): PeerMessage? {
@@ -98,7 +98,7 @@
         while (true) {
             var frame: Frame? = outgoing.receive()
             while (frame != null) {
-                val next = outgoing.tryReceive().getOrNull()
+                val next = outgoing.tryReceive()
                 val bytes = FrameCodec.encode(frame)
                 connection.write(bytes, flush = next == null)
                 onBytes(bytes.size, 0)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -37,6 +37,9 @@
 /** A message between instances. */
 @Serializable
 public sealed interface PeerMessage {
+    /** Approximate size in bytes of the entries, documents or commands that the message carries. */
+    public val contentBytes: Int get() = 0
+
     /** A message of the replication protocol. Not answered. */
     @Serializable
     @SerialName("replica")
@@ -44,7 +47,9 @@
         @CborLabel(1) val from: ReplicaId,
         @CborLabel(2) val to: ReplicaId,
         @CborLabel(3) val message: ReplicaMessage,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val contentBytes: Int get() = message.contentBytes
+    }
 
     /** Periodic report of an instance to the leader, sent several times a second. */
     @Serializable
@@ -172,7 +177,9 @@
     @SerialName("propose")
     public data class Propose(
         @CborLabel(1) val command: Command,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val contentBytes: Int get() = command.contentBytes
+    }
 
     /** Answers [Propose] with either [outcome] or [error]. */
     @Serializable
@@ -257,7 +264,9 @@
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
         @CborLabel(13) val suspectRevision: Long = 0,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val contentBytes: Int get() = document?.text?.length ?: 0
+    }
 
     /** Tells a control instance of requests under which backend servers have crashed, and of those that were cleared. */
     @Serializable
@@ -304,5 +313,7 @@
     @SerialName("document_reply")
     public data class DocumentReply(
         @CborLabel(1) val document: ConfigurationDocument?,
-    ) : PeerMessage
+    ) : PeerMessage {
+        override val contentBytes: Int get() = document?.text?.length ?: 0
+    }
 }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerOptions.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerOptions.kt
@@ -13,4 +13,6 @@
     val reconnectDelay: Duration = 200.milliseconds,
     /** Capacity of the queue of outgoing frames of a connection; further messages are dropped. */
     val queueLength: Int = 4_096,
+    /** Size of the messages in that queue; a larger message is accepted only while the queue is empty. */
+    val queueBytes: Long = 8L * 1024 * 1024,
 )
