Restart a replica that fails unexpectedly, and a process that is out of memory

Cause: the loops of the replica, of the connections between instances and of requests catch StorageException or Exception. Anything else, such as an OutOfMemoryError or a failed check in the replica, ends the coroutine for good while the process goes on and counts as up.

Evidence: ReplicaSpec, "restarts from its storage and serves again", on the code before: the replica never answers again (10 s allowed).

Change: a replica that fails restarts from what is stored, as after a storage failure. An error of one input is logged and answered.

--- a/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
@@ -1,5 +1,6 @@
 package anvilslip.daemon
 
+import anvilslip.kernel.FatalErrorHandler
 import anvilslip.kernel.Logs
 import anvilslip.settings.Settings
 import anvilslip.settings.SettingsReader
@@ -34,6 +35,7 @@
     )
 
 private fun runInstance(settings: Settings) {
+    Thread.setDefaultUncaughtExceptionHandler(FatalErrorHandler())
     val instance = Instance(settings)
     try {
         runBlocking { instance.start() }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -1,6 +1,7 @@
 package anvilslip.entry.http
 
 import anvilslip.kernel.EventLogger
+import anvilslip.kernel.isFatal
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
@@ -182,7 +183,8 @@
         } catch (e: IOException) {
             log.debug("answer_failed", "error" to e.message)
             ctx.close()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
+            if (e.isFatal) throw e
             log.error("request_failed", "path" to call.path, "error" to e)
             responder.fail()
         }
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -4,9 +4,11 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
 import anvilslip.kernel.SizedQueue
+import anvilslip.kernel.isFatal
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -109,7 +111,10 @@
         while (true) {
             try {
                 processInputs()
-            } catch (e: StorageException) {
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Throwable) {
+                if (e.isFatal) throw e
                 suspendAfterFailure(e)
             }
             reopenStorage()
@@ -124,11 +129,11 @@
     }
 
     /**
-     * Closes the storage and fails pending proposals. The replica neither votes nor acknowledges entries as long as it cannot
-     * store anything.
+     * Closes the storage and fails pending proposals. The replica neither votes nor acknowledges entries before it has restarted from
+     * what is stored, since its state in memory may be incomplete.
      */
-    private fun suspendAfterFailure(reason: StorageException) {
-        log.error("replica_suspended", "error" to reason.message)
+    private fun suspendAfterFailure(reason: Throwable) {
+        log.error("replica_suspended", "error" to reason)
         view = ReplicaView(core.id)
         pendingProposals.values.forEach { it.result.complete(ProposeError.Unknown.left()) }
         pendingProposals.clear()
@@ -143,8 +148,8 @@
             try {
                 open()
                 return
-            } catch (e: StorageException) {
-                log.warn("storage_reopen_failed", "error" to e.message)
+            } catch (e: Exception) {
+                log.warn("storage_reopen_failed", "error" to e)
                 storage.close()
             }
         }
--- /dev/null
+++ b/state/src/test/kotlin/anvilslip/state/ReplicaSpec.kt
@@ -0,0 +1,86 @@
+package anvilslip.state
+
+import anvilslip.kernel.SystemClock
+import arrow.core.right
+import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.engine.spec.tempdir
+import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import java.nio.file.Path
+import kotlin.io.path.fileSize
+import kotlin.io.path.listDirectoryEntries
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ReplicaSpec :
+    DescribeSpec({
+        /** Storage in [folder] whose next write fails with [failure], once. */
+        class FailingStorage(
+            folder: Path,
+            private val storage: Storage = FileStorage(folder),
+        ) : Storage by storage {
+            @Volatile
+            var failure: Throwable? = null
+
+            override fun store(output: ReplicaOutput) {
+                failure?.let {
+                    failure = null
+                    throw it
+                }
+                storage.store(output)
+            }
+        }
+
+        suspend fun <T> withReplica(
+            storage: Storage,
+            options: ReplicaOptions = ReplicaOptions(),
+            action: suspend (Replica) -> T,
+        ): T {
+            val replica = Replica("a", setOf("a"), storage, { _, _ -> }, SystemClock, options)
+            replica.start()
+            try {
+                return action(replica)
+            } finally {
+                replica.stop()
+            }
+        }
+
+        suspend fun propose(
+            replica: Replica,
+            command: Command = Command.ReadBarrier,
+        ): Boolean =
+            withTimeoutOrNull(10.seconds) {
+                while (replica.propose(command) != Outcome.Done.right()) delay(20.milliseconds)
+            } != null
+
+        describe("a replica whose step fails unexpectedly") {
+            // Guards against a process that goes on without its replica, and answers no change and no read any more.
+            it("restarts from its storage and serves again") {
+                val storage = FailingStorage(tempdir().toPath())
+                withReplica(storage) { replica ->
+                    propose(replica) shouldBe true
+                    storage.failure = IllegalStateException("unexpected")
+                    propose(replica) shouldBe true
+                }
+            }
+        }
+
+        describe("a replica that applies large documents") {
+            // Guards against a log that grows by the size of every change until neither the memory nor the disk holds it.
+            it("keeps its log within the limits in bytes") {
+                val folder = tempdir().toPath()
+                val megabyte = 1024 * 1024
+                val options = ReplicaOptions(bytesBetweenSnapshots = 4L * megabyte, retainedBytes = 2L * megabyte)
+                withReplica(FileStorage(folder), options) { replica ->
+                    propose(replica) shouldBe true
+                    for (version in 1L..20L) {
+                        val document = ConfigurationDocument(version, "x".repeat(megabyte))
+                        replica.propose(Command.ReplaceDocument(document)) shouldBe Outcome.DocumentInForce(version).right()
+                    }
+                }
+                folder.listDirectoryEntries("log-*").single().fileSize() shouldBeLessThan 6L * megabyte
+            }
+        }
+    })
--- a/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
@@ -3,6 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.SizedQueue
+import anvilslip.kernel.isFatal
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -72,7 +73,8 @@
                 lastSentAt = lastReceivedAt
                 log.info("peer_connected", "peer" to peer)
                 serve(connection)
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
+                if (e.isFatal) throw e
                 // A connect timeout is thrown as a CancellationException, but this coroutine is not cancelled and must reconnect.
                 currentCoroutineContext().ensureActive()
                 if (currentConnection != null) log.info("peer_disconnected", "peer" to peer, "error" to e.message)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -4,6 +4,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.Service
+import anvilslip.kernel.isFatal
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
@@ -213,7 +214,8 @@
                 handler.handle(peer, frame.message)
             } catch (e: CancellationException) {
                 throw e
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
+                if (e.isFatal) throw e
                 log.warn("peer_message_failed", "peer" to peer, "message" to frame.message::class.simpleName, "error" to e)
                 PeerMessage.Failed(e.message ?: "failed")
             }
