Keep quarantines in the replicated state

Cause: crashes and quarantines live in the memory of the instances alone. Class of fault: a promise without an end kept in state that ends with the processes.

Weighed: a file of each control instance (a second kind of durable state, with its own syncs, damage and lost disks); every crash through the log (some 60 suspects for each crash, and no decision without a leader); the entry instances have no disk. Chosen: instances go on to decide without a leader, and the leader records what is quarantined, one small command for each such request or part of a prompt. A request with fewer crashes starts again from none after a loss of all memory and is stopped by its third crash from then on.

Change: Command.UpdateQuarantines, QuarantineStore. Control instances restore the quarantines before they hand out the configuration with which an entry instance becomes ready, and an instance merges suspects before the document.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -19,6 +19,7 @@
 import anvilslip.state.Replica
 import anvilslip.state.ReplicaOptions
 import anvilslip.state.ReplicaTransport
+import anvilslip.state.ReplicatedState
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerHandler
 import anvilslip.wire.PeerMessage
@@ -118,7 +119,11 @@
         )
 
     private fun installControl(): PeerHandler {
-        val replica = kernel.install(replica())
+        lateinit var quarantineStore: QuarantineStore
+        val replica = kernel.install(replica { quarantineStore.restore(it) })
+        quarantineStore =
+            QuarantineStore(clusterView.suspects, { replica.isLeading }, { replica.view.state }, { replica.propose(it).isRight() })
+        kernel.install(quarantineStore)
         val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
@@ -135,7 +140,7 @@
         return ControlRouter(replica, watchResponder, dispatch, operations)
     }
 
-    private fun replica(): Replica {
+    private fun replica(restoreQuarantines: (ReplicatedState) -> Unit): Replica {
         lateinit var replica: Replica
         val transport =
             ReplicaTransport { to, message ->
@@ -152,6 +157,8 @@
                 options = replicaOptions(voterTarget = settings.toleratedLosses * 2 + 1),
                 mayBootstrap = settings.mayFound,
                 onStateChange = { state ->
+                    // Before the document, with which entry instances that have just started become ready.
+                    restoreQuarantines(state)
                     state.document?.let(clusterView::applyDocument)
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
--- a/gateway/src/main/kotlin/anvilslip/gateway/SuspectRegistry.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/SuspectRegistry.kt
@@ -31,6 +31,9 @@
     /** The first of [keys] with which requests must not be sent to servers, or null if there is none. */
     public fun quarantinedKey(keys: List<String>): String? = synchronized(table) { keys.firstOrNull(table::isQuarantined) }
 
+    /** The crashes that count against each key with which requests must not be sent to servers. */
+    public fun quarantines(): Map<String, Set<String>> = synchronized(table) { table.quarantines() }
+
     /** Records that [server] crashed while it ran a request with [keys]. */
     public fun recordCrash(
         keys: List<String>,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -134,11 +134,12 @@
         control: String,
         reply: PeerMessage.WatchReply,
     ) {
+        // Before the document, with which an instance that has just started becomes ready.
+        clusterView.suspects.merge(reply.suspects)
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
-        clusterView.suspects.merge(reply.suspects)
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.recordControlHosts(reply.controlHosts)
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
--- a/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
@@ -52,6 +52,13 @@
     /** True if requests with [key] must not be sent to servers. */
     public fun isQuarantined(key: String): Boolean = crashes(key).size >= MAX_CRASHES
 
+    /** The crashes that count against each quarantined key. */
+    public fun quarantines(): Map<String, Set<String>> =
+        suspects
+            .filterValues { it.openCrashes.size >= MAX_CRASHES }
+            .mapValues { (key, _) -> crashes(key) }
+            .filterValues { it.size >= MAX_CRASHES }
+
     /** Records that [server] crashed while it ran a request with [key]; does nothing if such a request was served a moment ago. */
     public fun recordCrash(
         key: String,
--- a/state/src/main/kotlin/anvilslip/state/Command.kt
+++ b/state/src/main/kotlin/anvilslip/state/Command.kt
@@ -96,6 +96,18 @@
         val version: Long,
     ) : Command
 
+    /**
+     * Records the requests that must not be sent to servers any more, and those that may again.
+     *
+     * @property added incarnations of the servers that crashed, by the key of the requests under which they did
+     */
+    @Serializable
+    @SerialName("update_quarantines")
+    public data class UpdateQuarantines(
+        val added: Map<String, Set<String>>,
+        val removed: Set<String>,
+    ) : Command
+
     /** Changes nothing. Once it is applied, the local state includes every command that was committed before it was proposed. */
     @Serializable
     @SerialName("confirm")
--- a/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
@@ -23,6 +23,8 @@
     val namedVersions: SerializablePersistentMap<AdapterName, Long> = persistentMapOf(),
     /** Increases with each change of [namedVersions]. */
     val namedRevision: Long = 0,
+    /** Incarnations of the servers that crashed under requests which must not be sent any more, by the key of the requests. */
+    val quarantines: SerializablePersistentMap<String, Set<String>> = persistentMapOf(),
 ) {
     /** Approximate size in bytes of the largest part of the state, the document. */
     internal val contentBytes: Int get() = document?.text?.length ?: 0
@@ -43,9 +45,17 @@
             is Command.Pardon -> Transition(copy(suspects = suspects.remove(command.fingerprint)), Outcome.Done)
             is Command.ReplaceDocument -> replaceDocument(command.document)
             is Command.NameVersion -> nameVersion(command)
+            is Command.UpdateQuarantines -> updateQuarantines(command)
             is Command.ReadBarrier -> Transition(this, Outcome.Done)
         }
 
+    private fun updateQuarantines(command: Command.UpdateQuarantines): Transition {
+        val next = quarantines.builder()
+        command.removed.forEach(next::remove)
+        next.putAll(command.added)
+        return Transition(copy(quarantines = next.build()), Outcome.Done)
+    }
+
     private fun replaceDocument(next: ConfigurationDocument): Transition {
         val inForce = document?.version
         if (inForce != null && next.version <= inForce) return Transition(this, Outcome.DocumentSuperseded(inForce))
