Tell the processes of a backend server apart when one signs off

The server's heartbeats are acknowledged, but all requests for its service are refused until it starts once more.

Cause: FleetTable.deregister marked the process that it knew as gone, whatever process the call named. FleetTable.refresh took a relayed sequence number without the process that it belongs to, so that a number of the earlier process made the reports of the present one look old; the server then counted as silent.

Change: a sign-off applies to the process that it names, by default the last known one; relayed refreshes carry the start of the process (ReportVersion, under a new number on the wire, since the meaning changes).

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -5,6 +5,7 @@
 import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
 import anvilslip.policy.FleetTable
+import anvilslip.policy.ReportVersion
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
 import anvilslip.state.AdapterName
@@ -42,8 +43,8 @@
     /** Changes of the backend servers since an earlier revision. */
     public data class FleetUpdate(
         val changed: List<ServerReport>,
-        /** Sequence numbers of the latest reports of servers that have reported again without a change, by server ID. */
-        val refreshed: Map<String, Long>,
+        /** The latest reports of servers that have reported again without a change, by server ID. */
+        val refreshed: Map<String, ReportVersion>,
         /** Revision after this update. */
         val revision: Long,
     )
@@ -166,12 +167,16 @@
         return change
     }
 
-    /** Deregisters a backend server; [startedAtMillis] is used if the server was not known. */
+    /** Deregisters the process of a backend server that started at [startedAtMillis], by default the last known one. */
     public fun deregister(
         server: String,
-        startedAtMillis: Long,
+        startedAtMillis: Long?,
     ) {
-        val change = synchronized(fleet) { fleet.deregister(server, startedAtMillis, clock.elapsed()) }
+        val change =
+            synchronized(fleet) {
+                val start = startedAtMillis ?: fleet[server]?.startedAtMillis ?: clock.now().toEpochMilliseconds()
+                fleet.deregister(server, start, clock.elapsed())
+            }
         if (change == FleetTable.Change.CHANGED) log.info("server_signed_off", "server" to server)
         if (change == FleetTable.Change.CHANGED) signalChange()
     }
@@ -192,11 +197,11 @@
             FleetUpdate(fleet.changesSince(revision, directOnly), fleet.refreshedSince(revision), fleet.revision)
         }
 
-    /** Records that server [id] sent its report [sequence] to another instance and that nothing else has changed. */
+    /** Records that server [id] sent its report [version] to another instance and that nothing else has changed. */
     public fun refreshServer(
         id: String,
-        sequence: Long,
-    ): Unit = synchronized(fleet) { fleet.refresh(id, sequence, clock.elapsed()) }
+        version: ReportVersion,
+    ): Unit = synchronized(fleet) { fleet.refresh(id, version, clock.elapsed()) }
 
     /** True if a server that reports to this instance has changed after [revision]. */
     public fun hasDirectFleetChangeSince(revision: Long): Boolean =
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -92,11 +92,11 @@
         clusterView.recordReport(report, direct = true)
     }
 
-    /** Deregisters a backend server; [startedAtMillis] is when its process started, by default now. */
+    /** Deregisters a backend server; [startedAtMillis] is when its process started, by default the last known one. */
     public fun deregister(
         server: String,
         startedAtMillis: Long?,
-    ): Unit = clusterView.deregister(server, startedAtMillis ?: clock.now().toEpochMilliseconds())
+    ): Unit = clusterView.deregister(server, startedAtMillis)
 
     /**
      * Returns the ready entry instances for a client in [zone]: only those of the zone if there are at least [MIN_NEARBY], otherwise
--- a/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
@@ -69,27 +69,27 @@
         return if (unchanged) Change.REFRESHED else Change.CHANGED
     }
 
-    /** Deregisters server [id] after it signed off; [startedAtMillis] is used if the server is not known. */
+    /** Deregisters the process of server [id] that started at [startedAtMillis]; does nothing if a later one has reported since. */
     public fun deregister(
         id: String,
         startedAtMillis: Long,
         now: Duration,
     ): Change {
         val known = entries[id]?.report
-        if (known?.phase == ServerPhase.GONE) return Change.NONE
         val last = known ?: ServerReport(id, "", "", "", ServerPhase.READY, startedAtMillis)
-        return applyReport(last.copy(phase = ServerPhase.GONE, sequence = Long.MAX_VALUE), direct = true, now)
+        val gone = last.copy(phase = ServerPhase.GONE, startedAtMillis = startedAtMillis, sequence = Long.MAX_VALUE)
+        return applyReport(gone, direct = true, now)
     }
 
-    /** Records that another instance received report [sequence] of server [id], which contained no change. */
+    /** Records that another instance received the report [version] of server [id], which contained no change. */
     public fun refresh(
         id: String,
-        sequence: Long,
+        version: ReportVersion,
         now: Duration,
     ) {
-        val known = entries[id] ?: return
-        if (sequence <= known.report.sequence) return
-        val report = known.report.copy(sequence = sequence)
+        val known = entries[id]?.takeIf { it.report.startedAtMillis == version.startedAtMillis } ?: return
+        if (version.sequence <= known.report.sequence) return
+        val report = known.report.copy(sequence = version.sequence)
         entries[id] = Entry(report, now, ++revision, known.changedRevision, known.adaptersRevision, known.adaptersTime, direct = false)
     }
 
@@ -108,11 +108,11 @@
         directOnly: Boolean,
     ): Boolean = (entry.changedRevision > since && (entry.direct || !directOnly)) || (entry.direct && entry.adaptersRevision > since)
 
-    /** Sequence numbers, by server, of unchanged reports that servers sent to this instance after revision [since]. */
-    public fun refreshedSince(since: Long): Map<String, Long> =
+    /** The latest of the unchanged reports, by server, that servers sent to this instance after revision [since]. */
+    public fun refreshedSince(since: Long): Map<String, ReportVersion> =
         entries.values
             .filter { it.direct && it.revision > since && !isChangedSince(it, since, directOnly = true) }
-            .associate { it.report.id to it.report.sequence }
+            .associate { it.report.id to ReportVersion(it.report.startedAtMillis, it.report.sequence) }
 
     /** True if a server changed after revision [since]; with [directOnly], only servers that report to this instance count. */
     public fun hasChangedSince(
--- a/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/FleetTableSpec.kt
@@ -107,6 +107,34 @@
             }
         }
 
+        describe("a server that has started anew under its ID") {
+            // Guards against a server that reports and is acknowledged, but gets no requests until it starts once more.
+            it("is not deregistered by a late call of its earlier process") {
+                val table = FleetTable()
+                table.applyDirect(report(sequence = 50, startedAt = 1))
+                table.applyDirect(report(sequence = 1, startedAt = 2))
+                table.deregister("s1", startedAtMillis = 1, now = Duration.ZERO) shouldBe FleetTable.Change.NONE
+                table.applyDirect(report(sequence = 2, startedAt = 2)) shouldBe FleetTable.Change.REFRESHED
+                table.ids() shouldBe listOf("s1")
+            }
+
+            it("is added although its earlier process signed off") {
+                val table = FleetTable()
+                table.applyDirect(report(sequence = 50, startedAt = 1))
+                table.deregister("s1", startedAtMillis = 1, now = Duration.ZERO) shouldBe FleetTable.Change.CHANGED
+                table.applyDirect(report(sequence = 1, startedAt = 2)) shouldBe FleetTable.Change.CHANGED
+                table.ids() shouldBe listOf("s1")
+            }
+
+            // Guards against reports that are taken for older ones, since an instance relayed the sequence number of the earlier process.
+            it("is not refreshed by a relayed report of its earlier process") {
+                val table = FleetTable()
+                table.applyDirect(report(sequence = 1, startedAt = 2))
+                table.refresh("s1", ReportVersion(1, 50), Duration.ZERO)
+                table.applyDirect(report(sequence = 2, startedAt = 2)) shouldBe FleetTable.Change.REFRESHED
+            }
+        }
+
         describe("the changes since a revision") {
             it("exclude relayed reports if only direct ones are requested") {
                 val table = FleetTable()
@@ -123,7 +151,7 @@
                 val known = table.revision
                 table.applyDirect(report(id = "near", sequence = 2))
                 table.changesSince(known, directOnly = false) shouldBe emptyList()
-                table.refreshedSince(known) shouldBe mapOf("near" to 2L)
+                table.refreshedSince(known) shouldBe mapOf("near" to ReportVersion(1, 2))
                 table.refreshedSince(0) shouldBe emptyMap()
             }
 
@@ -146,14 +174,14 @@
             it("stays alive and keeps its recorded state") {
                 val table = FleetTable()
                 table.applyDirect(report(sequence = 4, phase = ServerPhase.DRAINING))
-                table.refresh("s1", 5, 4.seconds)
+                table.refresh("s1", ReportVersion(1, 5), 4.seconds)
                 table.aliveServers(8.seconds, 5.seconds).single().phase shouldBe ServerPhase.DRAINING
                 table.applyReport(report(sequence = 5), direct = false, now = 4.seconds) shouldBe FleetTable.Change.NONE
             }
 
             it("is not added if it was not known before") {
                 val table = FleetTable()
-                table.refresh("s1", 5, Duration.ZERO)
+                table.refresh("s1", ReportVersion(1, 5), Duration.ZERO)
                 table.ids() shouldBe emptyList()
             }
         }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -14,6 +14,7 @@
 import anvilslip.policy.Grant
 import anvilslip.policy.InstanceView
 import anvilslip.policy.PlacementDecision
+import anvilslip.policy.ReportVersion
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RunningRequest
 import anvilslip.policy.ServerReport
@@ -260,7 +261,7 @@
         /** Number of entry instances that are ready. */
         @CborLabel(10) @SerialName("entries") val entryCount: Int = 1,
         /** Backend servers whose latest report is unchanged but for its sequence number, with that number. */
-        @CborLabel(11) val refreshed: Map<String, Long> = emptyMap(),
+        @CborLabel(14) val refreshed: Map<String, ReportVersion> = emptyMap(),
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
         @CborLabel(13) val suspectRevision: Long = 0,
