Heed servers that leave or ask for a pause in their answers

Change: the dialect decodes a ServerNotice from each answer of the expected server; ServerAvailability keeps, on this instance alone and for one process of a server, that it is leaving or until when it wants no requests. Such servers are excluded from each admission, and checked again before the request is sent. If all servers of a service have asked for a pause, the request is refused at once, as not run, with the time until the first returns.

Weighed: telling the leader and the other instances. A pause is meant for one instance, and a leaving server announces itself to the control instances anyway.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -31,6 +31,7 @@
     private val local: LocalDispatch,
     private val progress: ProgressReporter,
     private val sender: RequestSender,
+    private val availability: ServerAvailability,
     private val crashDetector: CrashDetector,
     metrics: GatewayMetrics,
     private val clock: Clock,
@@ -114,14 +115,14 @@
         }
     }
 
-    /** Sends the request unless it has been quarantined since it was admitted, in which case it returns null. */
+    /** Sends the request, or returns null if since it was admitted it was quarantined or the server asked for no more requests. */
     private suspend fun sendOnce(
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult? {
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (suspects.quarantinedKey(exchange.suspectKeys) != null) {
+            if (suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(attempt.decision.server)) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
                 return null
             }
@@ -245,7 +246,7 @@
             model = request.model,
             adapter = request.adapter,
             promptTokens = request.promptTokens,
-            exclude = exchange.excludedServers.toSet(),
+            exclude = exchange.excludedServers + availability.unavailable,
             isSuspect = suspects.isSuspect(exchange.suspectKeys),
         )
     }
@@ -276,7 +277,8 @@
         log.recordRefusal(exchange, refusal)
         val status = if (refusal.reason == DispatchRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
-        return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, refusal.retryMillis.milliseconds)
+        val retryAfter = availability.timeUntilAvailable(exchange.service) ?: refusal.retryMillis.milliseconds
+        return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, retryAfter)
     }
 
     /** Fails a request whose deadline, set by the client or by the timeout of the route, has passed. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -185,7 +185,8 @@
         val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
         val local = LocalDispatch(clusterView, progress::countRunning)
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
-        val sender = RequestSender(client, dialects.requests, progress, clock)
+        val availability = ServerAvailability(clusterView, clock)
+        val sender = RequestSender(client, dialects.requests, progress, availability, clock)
         val crashDetector = kernel.install(CrashDetector(client, clusterView))
         val clientHandler =
             Forwarder(
@@ -196,6 +197,7 @@
                 local = local,
                 progress = progress,
                 sender = sender,
+                availability = availability,
                 crashDetector = crashDetector,
                 metrics = GatewayMetrics(metrics),
                 clock = clock,
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
@@ -22,6 +22,12 @@
         response: HttpClientResponse,
     ): ServerVerdict
 
+    /** Decodes what the server that sent [response] to [request] says about further requests. */
+    public fun noticeOf(
+        request: ClientRequest,
+        response: HttpClientResponse,
+    ): ServerNotice
+
     /** Returns the headers of [response] that are relayed to the client. */
     public fun responseHeaders(response: HttpClientResponse): Map<String, String>
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -17,6 +17,7 @@
     private val client: HttpClient,
     private val dialect: RequestDialect,
     private val progress: ProgressReporter,
+    private val availability: ServerAvailability,
     private val clock: Clock,
 ) {
     suspend fun send(
@@ -25,6 +26,7 @@
     ): AttemptResult {
         val request = exchange.request
         val call = buildCall(exchange, attempt)
+        val incarnation = availability.incarnationOf(attempt.decision.server)
         val response =
             try {
                 client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
@@ -35,6 +37,7 @@
                 return AttemptResult.Broken(e.message ?: "broken")
             }
         response.use {
+            availability.record(incarnation, dialect.noticeOf(request, response))
             return when (dialect.classify(request, response)) {
                 ServerVerdict.NOT_RUN -> recordNotRun(attempt, RequestStep.NOT_RUN, response)
                 ServerVerdict.NOT_HELD -> recordNotRun(attempt, RequestStep.NOT_HELD, response)
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -73,6 +73,7 @@
         )
     val progress = ProgressReporter("e", network, clusterView)
     val client = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
+    val availability = ServerAvailability(clusterView, SystemClock)
 
     var refused = 0
 
@@ -97,7 +98,8 @@
             admit = ::admit,
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
-            sender = RequestSender(client, TestDialect, progress, senderClock),
+            sender = RequestSender(client, TestDialect, progress, availability, senderClock),
+            availability = availability,
             crashDetector = CrashDetector(client, clusterView),
             metrics = GatewayMetrics(Metrics()),
             clock = SystemClock,
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -45,6 +45,45 @@
             return server
         }
 
+        describe("a server that says in its answers that it is leaving") {
+            // Guards against requests that reach a leaving server before this instance has heard of it from a control instance.
+            it("gets no more requests from this instance, and the answer is relayed") {
+                val leaving = ScriptedServer { head, _ -> wholeResponse(head).replaceFirst("\r\n", "\r\nleaving: 1\r\n") }
+                val staying = ScriptedServer { head, _ -> wholeResponse(head) }
+                withForwarder(listOf(leaving, staying)) { call, _ ->
+                    repeat(5) { call("/again/1") shouldEndWith "yes" }
+                    leaving.requests shouldHaveSize 1
+                    staying.requests shouldHaveSize 4
+                }
+            }
+        }
+
+        describe("a server that turns a request away and asks for a pause") {
+            fun pausingServer(millis: Long) =
+                ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\npause: $millis\r\nContent-Length: 0\r\n\r\n" }
+
+            // Guards against a server that is overloaded being sent every request first, only to turn it away.
+            it("gets no requests from this instance until the pause ends") {
+                val pausing = pausingServer(millis = 700)
+                val free = ScriptedServer { head, _ -> wholeResponse(head) }
+                withForwarder(listOf(pausing, free)) { call, _ ->
+                    repeat(5) { call("/again/1") shouldEndWith "yes" }
+                    pausing.requests shouldHaveSize 1
+                    delay(800)
+                    call("/again/1") shouldEndWith "yes"
+                    pausing.requests shouldHaveSize 2
+                }
+            }
+
+            it("is not asked although it is the only one, and the request is refused at once as not run") {
+                val pausing = pausingServer(millis = 60_000)
+                withForwarder(listOf(pausing)) { call, _ ->
+                    repeat(3) { call("/once/1") shouldStartWith "HTTP/1.1 503" }
+                    pausing.requests shouldHaveSize 1
+                }
+            }
+        }
+
         describe("a request of an at-most-once route") {
             it("is retried on another server if the first one did not run it") {
                 val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -4,6 +4,7 @@
 import anvilslip.entry.http.HttpResponse
 import anvilslip.entry.http.HttpServerRequest
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Minimal dialect with short header names, for tests. */
 internal object TestDialect : RequestDialect {
@@ -25,6 +26,11 @@
             else -> ServerVerdict.ANSWER
         }
 
+    override fun noticeOf(
+        request: ClientRequest,
+        response: HttpClientResponse,
+    ) = ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
+
     override fun responseHeaders(response: HttpClientResponse): Map<String, String> = emptyMap()
 
     override fun errorResponse(
