Keep the crashes of a request until it comes again, beside many running ones

Cause: all requests that were running on a server when it crashed are suspects, some 60 a crash. The table held 1024 and dropped the one that was seen longest ago among those with fewer than three crashes, whether it had one crash, two, or was cleared. At two crashes a second a request's crashes were gone within 9 s, before it came again.

The new tests of SuspectTableSpec on the code before: 0 of 24 requests quarantined; a suspect displaced by requests that had been cleared.

Change: the suspect with the fewest open crashes goes first, so cleared ones before others, and the table holds 4096. Its size bounds how many crashes may lie between two appearances of a request: with one key for each request, 4096 running requests that were cut off.

--- a/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/SuspectTable.kt
@@ -142,8 +142,8 @@
     private fun evict(now: Duration) {
         suspects.values.removeAll { now - it.seenAt > RETENTION }
         if (suspects.size <= MAX_SUSPECTS) return
-        val oldest = suspects.entries.minWith(compareBy({ it.value.openCrashes.size >= MAX_CRASHES }, { it.value.seenAt }))
-        suspects.remove(oldest.key)
+        val leastSuspect = suspects.entries.minWith(compareBy({ it.value.openCrashes.size }, { it.value.seenAt }))
+        suspects.remove(leastSuspect.key)
     }
 
     public companion object {
@@ -156,7 +156,9 @@
         /** Interval at which sightings of a quarantined request are reported to other instances. */
         private val SEEN_INTERVAL = 30.seconds
         private val RETENTION = 10.minutes
-        private const val MAX_SUSPECTS = 1_024
+
+        /** All requests that were running on a server when it crashed must fit until those that come again have crashed the next one. */
+        private const val MAX_SUSPECTS = 4_096
         private const val MAX_SERVED = 2_048
         private const val INITIAL_SIZE = 64
         private const val LOAD_FACTOR = 0.75f
--- a/policy/src/test/kotlin/anvilslip/policy/SuspectTableSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/SuspectTableSpec.kt
@@ -67,6 +67,26 @@
                 repeat(5_000) { table.recordCrash("innocent-$it", "d", start + 5.seconds) }
                 table.isQuarantined("r") shouldBe true
             }
+
+            // Guards against requests that are never quarantined, since innocent ones displace their crashes before they come again.
+            it("is quarantined although each server that crashes was running many innocent requests, 24 such requests in turn") {
+                val table = SuspectTable()
+                repeat(24 * 3) { crash ->
+                    val now = start + 500.milliseconds * crash
+                    repeat(60) { table.recordCrash("innocent-$crash-$it", "s$crash", now) }
+                    table.recordCrash("r-${crash % 24}", "s$crash", now)
+                }
+                (0..23).count { table.isQuarantined("r-$it") } shouldBe 24
+            }
+
+            it("is not displaced by requests that have been cleared") {
+                val table = tableWithCrashes("a")
+                repeat(5_000) {
+                    table.recordCrash("cleared-$it", "b", start + 5.seconds)
+                    table.recordServed("cleared-$it", start + 6.seconds)
+                }
+                table.isSuspect("r") shouldBe true
+            }
         }
 
         describe("a key that requests share") {
