--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -1,5 +1,6 @@
 package anvilslip.entry.http
 
+import anvilslip.kernel.Clock
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpContent
@@ -9,13 +10,29 @@
 import kotlin.time.Duration
 
 /** Client side of one connection; passes received data to the response in progress. */
-internal class ClientConnection : ChannelInboundHandlerAdapter() {
+internal class ClientConnection(
+    private val clock: Clock,
+    private val onForeignAnswer: (ForeignAnswer) -> Unit,
+) : ChannelInboundHandlerAdapter() {
     @Volatile
     private var response: HttpClientResponse? = null
 
     @Volatile
     private var context: ChannelHandlerContext? = null
 
+    @Volatile
+    private var correlation: Correlation? = null
+
+    @Volatile
+    private var exchanges = 0
+
+    /** When the latest exchange began and the one before it ended. */
+    @Volatile
+    private var endedAt: Duration? = null
+
+    @Volatile
+    private var sincePrevious: Duration? = null
+
     /** Number of informational responses in a row. */
     private var informationalCount = 0
 
@@ -29,13 +46,18 @@
     /** Starts an exchange; [onReusable] is called when it has ended and the connection can be reused. */
     fun beginExchange(
         readTimeout: Duration,
+        correlation: Correlation?,
         onReusable: (serverIdleLimit: Duration?) -> Unit,
     ): HttpClientResponse {
         // The answer before may have been closed unread, with the connection paused.
         setReading(true)
+        this.correlation = correlation
+        exchanges++
+        sincePrevious = endedAt?.let { clock.elapsed() - it }
         val next =
             HttpClientResponse(readTimeout, ReceiveWindow(::setReading)) { reusable, serverIdleLimit ->
                 response = null
+                endedAt = clock.elapsed()
                 if (reusable) onReusable(serverIdleLimit) else context?.close()
             }
         response = next
@@ -66,7 +88,10 @@
                 ctx.close()
                 return
             }
-            if (message is HttpResponse) current.onHead(message)
+            if (message is HttpResponse) {
+                reportIfForeign(ctx, message)
+                current.onHead(message)
+            }
             if (message is HttpContent) receiveContent(ctx, current, message)
         } finally {
             ReferenceCountUtil.release(message)
@@ -82,6 +107,17 @@
         return isInformational
     }
 
+    private fun reportIfForeign(
+        ctx: ChannelHandlerContext,
+        head: HttpResponse,
+    ) {
+        val expected = correlation ?: return
+        val foundId = head.headers()[expected.header]
+        if (foundId == expected.id) return
+        val address = "${ctx.channel().remoteAddress()}".removePrefix("/")
+        onForeignAnswer(ForeignAnswer(address, head.status().code(), expected.id, foundId, exchanges, sincePrevious))
+    }
+
     private fun receiveContent(
         ctx: ChannelHandlerContext,
         current: HttpClientResponse,
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -35,6 +35,8 @@
     /** Longest time that an idle connection stays in the pool. */
     private val maxIdle: Duration = 30.seconds,
     private val clock: Clock = SystemClock,
+    /** Called on the thread of a connection for each answer that does not name the request that was waiting; must not block. */
+    private val onForeignAnswer: (ForeignAnswer) -> Unit = {},
 ) : Service {
     /** A pooled connection. */
     private class Pooled(
@@ -54,7 +56,7 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), ClientConnection())
+                        channel.pipeline().addLast(HttpClientCodec(), ClientConnection(clock, onForeignAnswer))
                     }
                 },
             )
@@ -78,7 +80,7 @@
         val connection = channel.pipeline().get(ClientConnection::class.java)
         lateinit var written: ChannelFuture
         val response =
-            connection.beginExchange(readTimeout) { serverIdleLimit ->
+            connection.beginExchange(readTimeout, request.correlation) { serverIdleLimit ->
                 if (written.isSuccess) returnToPool(address, channel, serverIdleLimit) else channel.close()
             }
         try {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -45,7 +45,9 @@
     private val metrics = kernel.install(Metrics())
     private val network = kernel.install(network())
     private val clusterView = ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat)
-    private val client = kernel.install(HttpClient(connectTimeout = CONNECT_TIMEOUT, threads = 1, maxIdle = MAX_IDLE, clock = clock))
+    private val requestMetrics = GatewayMetrics(metrics)
+    private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
+    private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
     private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
     private var frontend: HttpServer? = null
     private var forwarder: Forwarder? = null
@@ -199,7 +201,7 @@
                 sender = sender,
                 availability = availability,
                 crashDetector = crashDetector,
-                metrics = GatewayMetrics(metrics),
+                metrics = requestMetrics,
                 clock = clock,
                 retryBudget = ::retryBudget,
             )
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.entry.http.Correlation
 import anvilslip.entry.http.HttpClientResponse
 import anvilslip.entry.http.HttpResponse
 import anvilslip.entry.http.HttpServerRequest
@@ -16,6 +17,9 @@
         metadata: ForwardingMetadata,
     ): Map<String, String>
 
+    /** Returns how the answer to [request] is recognised, or null if the request has no ID that servers echo. */
+    public fun correlationOf(request: ClientRequest): Correlation?
+
     /** Classifies [response] to [request] by its status and headers. */
     public fun classify(
         request: ClientRequest,
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -68,6 +68,7 @@
             body = request.call.body,
             freshConnection = !exchange.route.isRetryable,
             host = request.call.header("host"),
+            correlation = dialect.correlationOf(request),
         )
     }
 
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.entry.http.Correlation
 import anvilslip.entry.http.HttpClientResponse
 import anvilslip.entry.http.HttpResponse
 import anvilslip.entry.http.HttpServerRequest
@@ -16,6 +17,8 @@
         metadata: ForwardingMetadata,
     ): Map<String, String> = listOfNotNull("id" to request.attemptId.orEmpty(), metadata.lastEventId?.let { "last" to it }).toMap()
 
+    override fun correlationOf(request: ClientRequest) = request.attemptId?.let { Correlation("id", it) }
+
     override fun classify(
         request: ClientRequest,
         response: HttpClientResponse,
