--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -52,6 +52,7 @@
         attempt: Attempt,
     ): HttpClientRequest {
         val request = exchange.request
+        val correlation = dialect.correlationOf(request)
         val metadata =
             ForwardingMetadata(
                 server = attempt.decision.server,
@@ -66,9 +67,9 @@
             path = request.call.target,
             headers = dialect.headers(request, metadata),
             body = request.call.body,
-            freshConnection = !exchange.route.isRetryable,
+            freshConnection = !exchange.route.isRetryable || correlation == null,
             host = request.call.header("host"),
-            correlation = dialect.correlationOf(request),
+            correlation = correlation,
         )
     }
 
