Attribute each received message to its exchange on the event loop

What callers saw: 502 for requests that their server had answered, and now and then a 500 of our own ('This job has not completed yet').

Cause: the end of an exchange was decided by the thread that closed the response, while received messages went to whichever exchange was registered when they were read. After an answer to another request the connection returned to the pool although the own answer was still to come, so that each later exchange on it found the answer to the one before; and the rest of an answer could reach an exchange that had just begun, which then had a body and no head.

Ruled out: a fault of the pool's order (the chains are of one connection each).

An exchange now begins and ends on the event loop, in the order of what is received. It ends with the last part of its answer; a connection on which anything else arrives is closed. A connection that cannot carry a request any more fails it before it is written, and the request is sent on a new one. An ID that the connection carried before gets another connection. The comparison of IDs moves from the dialect into the connection; the first answer on a connection needs none.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -3,35 +3,42 @@
 import anvilslip.kernel.Clock
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Client side of one connection; passes received data to the response in progress. */
+/**
+ * Client side of one connection: writes a request and passes on what is received until the end of its answer. Each received message
+ * is attributed on the event loop, in the order in which it was received, so that no part of an answer reaches another exchange. The
+ * connection is closed when an answer is received that does not name the request.
+ */
 internal class ClientConnection(
     private val clock: Clock,
     private val onForeignAnswer: (ForeignAnswer) -> Unit,
+    /** Called when an exchange has ended and the connection can be used again; with the time for which the server keeps it. */
+    private val onIdle: (ClientConnection, serverIdleLimit: Duration?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
-    @Volatile
-    private var response: HttpClientResponse? = null
+    private enum class Phase { AWAITING_HEAD, RECEIVING }
 
-    @Volatile
-    private var context: ChannelHandlerContext? = null
+    private lateinit var context: ChannelHandlerContext
 
+    /** The exchange in progress. Changed on the event loop alone. */
     @Volatile
+    private var response: HttpClientResponse? = null
     private var correlation: Correlation? = null
-
-    @Volatile
+    private var phase = Phase.AWAITING_HEAD
+    private var head: HttpResponse? = null
+    private var isWritten = false
     private var exchanges = 0
-
-    /** When the latest exchange began and the one before it ended. */
-    @Volatile
     private var endedAt: Duration? = null
 
-    @Volatile
-    private var sincePrevious: Duration? = null
+    /** Hash codes of the IDs that the connection has carried. A second answer to one of them could not be told from the first. */
+    private val carriedIds = HashSet<Int>()
 
     /** Number of informational responses in a row. */
     private var informationalCount = 0
@@ -39,33 +46,54 @@
     /** True while the end of an informational response is still to come. */
     private var isInformational = false
 
+    val isActive: Boolean get() = context.channel().isActive
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
 
-    /** Starts an exchange; [onReusable] is called when it has ended and the connection can be reused. */
-    fun beginExchange(
-        readTimeout: Duration,
+    /**
+     * Sends [request] and returns the response that will be received. If the connection cannot carry it, the response fails with
+     * [HttpClientException.NotSent].
+     */
+    fun send(
+        request: FullHttpRequest,
         correlation: Correlation?,
-        onReusable: (serverIdleLimit: Duration?) -> Unit,
+        readTimeout: Duration,
     ): HttpClientResponse {
-        // The answer before may have been closed unread, with the connection paused.
-        setReading(true)
-        this.correlation = correlation
-        exchanges++
-        sincePrevious = endedAt?.let { clock.elapsed() - it }
-        val next =
-            HttpClientResponse(readTimeout, ReceiveWindow(::setReading)) { reusable, serverIdleLimit ->
-                response = null
-                endedAt = clock.elapsed()
-                if (reusable) onReusable(serverIdleLimit) else context?.close()
-            }
-        response = next
+        lateinit var next: HttpClientResponse
+        val window = ReceiveWindow { reading -> if (response === next) setReading(reading) }
+        next = HttpClientResponse(readTimeout, window) { onEventLoop { if (response === next) context.close() } }
+        onEventLoop { begin(request, correlation, next) }
         return next
     }
 
-    private fun setReading(reading: Boolean) {
-        context?.channel()?.config()?.isAutoRead = reading
+    fun close() {
+        context.close()
+    }
+
+    private fun onEventLoop(action: () -> Unit) = context.channel().eventLoop().execute(action)
+
+    private fun begin(
+        request: FullHttpRequest,
+        correlation: Correlation?,
+        next: HttpClientResponse,
+    ) {
+        val isCarried = correlation != null && !carriedIds.add(correlation.id.hashCode())
+        if (response != null || isCarried || !isActive) {
+            ReferenceCountUtil.release(request)
+            next.onFailure(HttpClientException.NotSent("the connection can carry no further request"))
+            context.close()
+            return
+        }
+        response = next
+        this.correlation = correlation
+        phase = Phase.AWAITING_HEAD
+        isWritten = false
+        exchanges++
+        context.channel().writeAndFlush(request).addListener {
+            if (it.isSuccess) isWritten = true else next.onFailure("sending failed: ${it.cause()?.message}")
+        }
     }
 
     override fun channelRead(
@@ -80,19 +108,11 @@
                 return
             }
             if (isPartOfInformational(message)) {
-                if (informationalCount > MAX_INFORMATIONAL) fail(ctx, current, "too many informational responses")
-                return
-            }
-            if (current.isComplete) {
-                current.onExcessBytes()
-                ctx.close()
+                if (informationalCount > MAX_INFORMATIONAL) fail(current, "too many informational responses")
                 return
             }
-            if (message is HttpResponse) {
-                reportIfForeign(ctx, message)
-                current.onHead(message)
-            }
-            if (message is HttpContent) receiveContent(ctx, current, message)
+            if (message is HttpResponse) receiveHead(current, message)
+            if (message is HttpContent && response === current) receiveContent(current, message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -107,35 +127,78 @@
         return isInformational
     }
 
-    private fun reportIfForeign(
-        ctx: ChannelHandlerContext,
-        head: HttpResponse,
+    private fun receiveHead(
+        current: HttpClientResponse,
+        message: HttpResponse,
     ) {
-        val expected = correlation ?: return
-        val foundId = head.headers()[expected.header]
-        if (foundId == expected.id) return
-        val address = "${ctx.channel().remoteAddress()}".removePrefix("/")
-        onForeignAnswer(ForeignAnswer(address, head.status().code(), expected.id, foundId, exchanges, sincePrevious))
+        if (message.decoderResult().isFailure) return fail(current, "malformed answer")
+        if (isForeign(message)) return fail(current, "the answer belongs to another request")
+        phase = Phase.RECEIVING
+        head = message
+        current.onHead(message)
+    }
+
+    /** True for an answer that may belong to an earlier exchange; there is none before the first, whose answer needs no ID. */
+    private fun isForeign(message: HttpResponse): Boolean {
+        val expected = correlation ?: return false
+        val foundId = message.headers()[expected.header]
+        if (foundId == expected.id || (foundId == null && exchanges == 1)) return false
+        val address = "${context.channel().remoteAddress()}".removePrefix("/")
+        val sincePrevious = endedAt?.let { clock.elapsed() - it }
+        onForeignAnswer(ForeignAnswer(address, message.status().code(), expected.id, foundId, exchanges, sincePrevious))
+        return true
     }
 
     private fun receiveContent(
-        ctx: ChannelHandlerContext,
         current: HttpClientResponse,
         message: HttpContent,
     ) {
         val cause = message.decoderResult().cause()
-        if (cause != null) return fail(ctx, current, "malformed answer: ${cause.message}")
-        val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
-        current.onBody(bytes, message is LastHttpContent)
+        if (cause != null) return fail(current, "malformed answer: ${cause.message}")
+        val isLast = message is LastHttpContent
+        when (phase) {
+            Phase.AWAITING_HEAD -> {
+                fail(current, "a body without a head")
+            }
+
+            Phase.RECEIVING -> {
+                val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
+                current.onBody(bytes, isLast)
+                if (isLast) end()
+            }
+        }
+    }
+
+    /** Ends the exchange after the last part of its answer. */
+    private fun end() {
+        val lastHead = head
+        response = null
+        head = null
+        endedAt = clock.elapsed()
+        val isReusable = isWritten && exchanges < MAX_EXCHANGES
+        if (lastHead == null || !isReusable || !HttpUtil.isKeepAlive(lastHead)) {
+            context.close()
+            return
+        }
+        setReading(true)
+        onIdle(this, serverIdleLimit(lastHead))
+    }
+
+    private fun serverIdleLimit(message: HttpResponse): Duration? {
+        val timeout = message.headers()["keep-alive"]?.let { TIMEOUT.find(it) } ?: return null
+        return timeout.groupValues[1].toLongOrNull()?.seconds
+    }
+
+    private fun setReading(reading: Boolean) {
+        context.channel().config().isAutoRead = reading
     }
 
     private fun fail(
-        ctx: ChannelHandlerContext,
         current: HttpClientResponse,
         reason: String,
     ) {
         current.onFailure(reason)
-        ctx.close()
+        context.close()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -156,5 +219,9 @@
 
         /** More than any server sends; without a limit they could come for ever. */
         const val MAX_INFORMATIONAL = 16
+
+        /** Exchanges of one connection; bounds the IDs that are remembered. */
+        const val MAX_EXCHANGES = 256
+        val TIMEOUT = Regex("timeout=(\\d+)")
     }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -1,12 +1,11 @@
 package anvilslip.entry.http
 
 import anvilslip.kernel.Clock
+import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
 import anvilslip.kernel.SystemClock
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
-import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
@@ -19,11 +18,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -40,11 +41,12 @@
 ) : Service {
     /** A pooled connection. */
     private class Pooled(
-        val channel: Channel,
+        val connection: ClientConnection,
         val expiresAt: Duration,
     )
 
     override val name: String = NAME
+    private val log = EventLogger(NAME)
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     private val idleConnections = ConcurrentHashMap<String, ConcurrentLinkedDeque<Pooled>>()
     private val bootstrap =
@@ -53,13 +55,6 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
-            .handler(
-                object : ChannelInitializer<SocketChannel>() {
-                    override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), ClientConnection(clock, onForeignAnswer))
-                    }
-                },
-            )
 
     override suspend fun stop() {
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, TimeUnit.MILLISECONDS)
@@ -76,21 +71,35 @@
         request: HttpClientRequest,
         readTimeout: Duration,
     ): HttpClientResponse {
-        val channel = (if (request.freshConnection) null else pollIdle(address)) ?: connect(address)
-        val connection = channel.pipeline().get(ClientConnection::class.java)
-        lateinit var written: ChannelFuture
+        val pooled = if (request.freshConnection) null else pollIdle(address)
+        if (pooled != null) {
+            try {
+                return send(pooled, address, request, readTimeout)
+            } catch (e: HttpClientException.NotSent) {
+                log.debug("connection_replaced", "address" to address, "reason" to e.message)
+            }
+        }
+        return send(connect(address), address, request, readTimeout)
+    }
+
+    private suspend fun send(
+        connection: ClientConnection,
+        address: String,
+        request: HttpClientRequest,
+        readTimeout: Duration,
+    ): HttpClientResponse {
         val response =
-            connection.beginExchange(readTimeout, request.correlation) { serverIdleLimit ->
-                if (written.isSuccess) returnToPool(address, channel, serverIdleLimit) else channel.close()
+            try {
+                connection.send(nettyRequest(address, request), request.correlation, readTimeout)
+            } catch (e: RejectedExecutionException) {
+                throw HttpClientException.NotSent("the client is stopped", e)
             }
         try {
-            written = channel.writeAndFlush(nettyRequest(address, request))
-            written.awaitChannel()
             response.awaitHead()
         } catch (e: IOException) {
             response.close()
-            throw e as? HttpClientException ?: HttpClientException.IncompleteResponse("sending to $address failed: ${e.message}", false, e)
-        } catch (e: kotlinx.coroutines.CancellationException) {
+            throw e
+        } catch (e: CancellationException) {
             response.close()
             throw e
         }
@@ -121,34 +130,50 @@
             e.cause is ConnectException && e.cause !is ConnectTimeoutException
         }
 
-    private suspend fun connect(address: String): Channel {
+    private suspend fun connect(address: String): ClientConnection {
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toIntOrNull() ?: throw HttpClientException.NotSent("'$address' is not host:port")
-        return try {
-            withTimeoutOrNull(connectTimeout) { bootstrap.connect(host, port).awaitConnected() }
+        val connection = ClientConnection(clock, onForeignAnswer) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
+        try {
+            withTimeoutOrNull(connectTimeout) {
+                bootstrap
+                    .clone()
+                    .handler(initializer(connection))
+                    .connect(host, port)
+                    .awaitConnected()
+            }
                 ?: throw HttpClientException.NotSent("connecting to $address timed out")
         } catch (e: IOException) {
             throw e as? HttpClientException ?: HttpClientException.NotSent("connecting to $address failed: ${e.message}", e)
         }
+        return connection
     }
 
-    private fun pollIdle(address: String): Channel? {
-        val channels = idleConnections[address] ?: return null
+    private fun initializer(connection: ClientConnection) =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(HttpClientCodec(), connection)
+            }
+        }
+
+    private fun pollIdle(address: String): ClientConnection? {
+        val connections = idleConnections[address] ?: return null
         while (true) {
-            val channel = channels.pollLast() ?: return null
-            if (channel.channel.isActive && clock.elapsed() < channel.expiresAt) return channel.channel
-            channel.channel.close()
+            val pooled = connections.pollLast() ?: return null
+            if (pooled.connection.isActive && clock.elapsed() < pooled.expiresAt) return pooled.connection
+            pooled.connection.close()
         }
     }
 
     private fun returnToPool(
         address: String,
-        channel: Channel,
+        connection: ClientConnection,
         serverIdleLimit: Duration?,
     ) {
         val ttl = serverIdleLimit?.let { minOf(maxIdle, it * KEEP_ALIVE_FRACTION) } ?: maxIdle
-        val channels = idleConnections.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        if (channels.size < MAX_IDLE && channel.isActive) channels.addLast(Pooled(channel, clock.elapsed() + ttl)) else channel.close()
+        val connections = idleConnections.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        val isKept = connections.size < MAX_IDLE && connection.isActive
+        if (isKept) connections.addLast(Pooled(connection, clock.elapsed() + ttl)) else connection.close()
     }
 
     private fun nettyRequest(
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
@@ -2,40 +2,29 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpUtil
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** A response that is being received. Must be closed; closing it before the end of the body closes the connection. */
 public class HttpClientResponse internal constructor(
     private val readTimeout: Duration,
     private val window: ReceiveWindow,
-    private val onClose: (reusable: Boolean, serverIdleLimit: Duration?) -> Unit,
+    private val onClose: () -> Unit,
 ) : AutoCloseable {
     private class Head(
         val status: Int,
         val contentType: String?,
         val headers: Map<String, String>,
-        val keepAlive: Boolean,
     )
 
     private val head = CompletableDeferred<Head>()
     private val body = Channel<ByteArray>(Channel.UNLIMITED)
     private val closed = AtomicBoolean()
 
-    @Volatile
-    private var bodyComplete = false
-
-    @Volatile
-    private var hasExcessBytes = false
-
-    internal val isComplete: Boolean get() = bodyComplete
-
     /** All headers. Names are lower case; values of repeated headers are joined by commas. */
     public val headers: Map<String, String> get() = receivedHead.headers
 
@@ -75,18 +64,7 @@
     }
 
     override fun close() {
-        if (closed.compareAndSet(false, true)) onClose(bodyComplete && !hasExcessBytes && receivedHead.keepAlive, serverIdleLimit())
-    }
-
-    private fun serverIdleLimit(): Duration? {
-        if (!bodyComplete) return null
-        val timeout = header("keep-alive")?.let { TIMEOUT.find(it) } ?: return null
-        return timeout.groupValues[1].toLongOrNull()?.seconds
-    }
-
-    /** Marks the connection as not reusable, since data arrived after the end of the response. */
-    internal fun onExcessBytes() {
-        hasExcessBytes = true
+        if (closed.compareAndSet(false, true)) onClose()
     }
 
     internal suspend fun awaitHead() {
@@ -94,10 +72,9 @@
     }
 
     internal fun onHead(response: HttpResponse) {
-        if (response.decoderResult().isFailure) return onFailure("malformed answer")
         val headers = response.headers().groupBy({ it.key.lowercase() }, { it.value }).mapValues { it.value.joinToString(", ") }
         val type = response.headers()[HttpHeaderNames.CONTENT_TYPE]
-        head.complete(Head(response.status().code(), type, headers, HttpUtil.isKeepAlive(response)))
+        head.complete(Head(response.status().code(), type, headers))
     }
 
     internal fun onBody(
@@ -106,18 +83,13 @@
     ) {
         window.onReceived(bytes.size)
         if (bytes.isNotEmpty()) body.trySend(bytes)
-        if (!last) return
-        bodyComplete = true
-        body.close()
+        if (last) body.close()
     }
 
-    internal fun onFailure(message: String) {
-        val error = HttpClientException.IncompleteResponse(message, false)
-        head.completeExceptionally(error)
-        if (!bodyComplete) body.close(error)
-    }
+    internal fun onFailure(message: String): Unit = onFailure(HttpClientException.IncompleteResponse(message, false))
 
-    private companion object {
-        val TIMEOUT = Regex("timeout=(\\d+)")
+    internal fun onFailure(error: HttpClientException) {
+        head.completeExceptionally(error)
+        body.close(error)
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestDialect.kt
@@ -20,17 +20,11 @@
     /** Returns how the answer to [request] is recognised, or null if the request has no ID that servers echo. */
     public fun correlationOf(request: ClientRequest): Correlation?
 
-    /** Classifies [response] to [request] by its status and headers. */
-    public fun classify(
-        request: ClientRequest,
-        response: HttpClientResponse,
-    ): ServerVerdict
+    /** Classifies [response] by its status and headers. */
+    public fun classify(response: HttpClientResponse): ServerVerdict
 
-    /** Decodes what the server that sent [response] to [request] says about further requests. */
-    public fun noticeOf(
-        request: ClientRequest,
-        response: HttpClientResponse,
-    ): ServerNotice
+    /** Decodes what the server that sent [response] says about further requests. */
+    public fun noticeOf(response: HttpClientResponse): ServerNotice
 
     /** Returns the headers of [response] that are relayed to the client. */
     public fun responseHeaders(response: HttpClientResponse): Map<String, String>
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -24,7 +24,6 @@
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult {
-        val request = exchange.request
         val call = buildCall(exchange, attempt)
         val incarnation = availability.incarnationOf(attempt.decision.server)
         val response =
@@ -37,11 +36,11 @@
                 return AttemptResult.Broken(e.message ?: "broken")
             }
         response.use {
-            availability.record(incarnation, dialect.noticeOf(request, response))
-            return when (dialect.classify(request, response)) {
+            availability.record(incarnation, dialect.noticeOf(response))
+            return when (dialect.classify(response)) {
                 ServerVerdict.NOT_RUN -> recordNotRun(attempt, RequestStep.NOT_RUN, response)
                 ServerVerdict.NOT_HELD -> recordNotRun(attempt, RequestStep.NOT_HELD, response)
-                ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer belongs to another request or was not created by the server")
+                ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer was not created by the server")
                 ServerVerdict.ANSWER -> relay(exchange, attempt, response)
             }
         }
@@ -52,7 +51,6 @@
         attempt: Attempt,
     ): HttpClientRequest {
         val request = exchange.request
-        val correlation = dialect.correlationOf(request)
         val metadata =
             ForwardingMetadata(
                 server = attempt.decision.server,
@@ -67,9 +65,9 @@
             path = request.call.target,
             headers = dialect.headers(request, metadata),
             body = request.call.body,
-            freshConnection = !exchange.route.isRetryable || correlation == null,
+            freshConnection = !exchange.route.isRetryable,
             host = request.call.header("host"),
-            correlation = correlation,
+            correlation = dialect.correlationOf(request),
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerVerdict.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerVerdict.kt
@@ -11,6 +11,6 @@
     /** The server did not run the request because it is not the expected server or does not hold the expected adapter version. */
     NOT_HELD,
 
-    /** The response belongs to another request, or was not created by the server. */
+    /** The response was not created by the server. */
     FOREIGN,
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -19,20 +19,10 @@
 
     override fun correlationOf(request: ClientRequest) = request.attemptId?.let { Correlation("id", it) }
 
-    override fun classify(
-        request: ClientRequest,
-        response: HttpClientResponse,
-    ): ServerVerdict =
-        when {
-            response.header("not-run") != null -> ServerVerdict.NOT_RUN
-            response.header("id") != request.attemptId -> ServerVerdict.FOREIGN
-            else -> ServerVerdict.ANSWER
-        }
-
-    override fun noticeOf(
-        request: ClientRequest,
-        response: HttpClientResponse,
-    ) = ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
+    override fun classify(response: HttpClientResponse): ServerVerdict =
+        if (response.header("not-run") == null) ServerVerdict.ANSWER else ServerVerdict.NOT_RUN
+
+    override fun noticeOf(response: HttpClientResponse) = ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
 
     override fun responseHeaders(response: HttpClientResponse): Map<String, String> = emptyMap()
 
