Give requests that their answers do not name a connection of their own

What callers and operators could see: a load order of an adapter that an engine refused counts as accepted, a completion or a service call gets the answer of the call before it, a resumed stream the text of another. The same cause as that of answers without an ID: orders to engines, their inventories and all calls of the product's own interface go over the same pool of connections, and their answers name no request, so that a late second answer on a connection is taken for the answer to the next call.

Such a call now gets a new connection, which is closed after it; so does HEAD, since the codec decides by position which answer has no body. Ruled out as a way: sending an ID with these calls, since nothing says that servers echo it there.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -169,13 +169,13 @@
         }
     }
 
-    /** Ends the exchange after the last part of its answer. */
+    /** Ends the exchange after the last part of its answer. A connection that carried a request without an ID is not used again. */
     private fun end() {
         val lastHead = head
         response = null
         head = null
         endedAt = clock.elapsed()
-        val isReusable = isWritten && exchanges < MAX_EXCHANGES
+        val isReusable = isWritten && correlation != null && exchanges < MAX_EXCHANGES
         if (lastHead == null || !isReusable || !HttpUtil.isKeepAlive(lastHead)) {
             context.close()
             return
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -71,7 +71,7 @@
         request: HttpClientRequest,
         readTimeout: Duration,
     ): HttpClientResponse {
-        val pooled = if (request.freshConnection) null else pollIdle(address)
+        val pooled = if (needsNewConnection(request)) null else pollIdle(address)
         if (pooled != null) {
             try {
                 return send(pooled, address, request, readTimeout)
@@ -82,6 +82,10 @@
         return send(connect(address), address, request, readTimeout)
     }
 
+    /** An answer to an earlier exchange could be taken for the answer to a request that its answer does not name, or to HEAD. */
+    private fun needsNewConnection(request: HttpClientRequest) =
+        request.freshConnection || request.correlation == null || request.method == HEAD
+
     private suspend fun send(
         connection: ClientConnection,
         address: String,
@@ -195,7 +199,8 @@
 
         /** Fraction of the keep-alive timeout of the server after which a connection is dropped, so that it is not closed during reuse. */
         private const val KEEP_ALIVE_FRACTION = 0.6
-        private val BODILESS = setOf("GET", "HEAD", "DELETE")
+        private const val HEAD = "HEAD"
+        private val BODILESS = setOf("GET", HEAD, "DELETE")
         private const val SHUTDOWN_MILLIS = 500L
         private const val DEFAULT_MAX_BYTES = 16 * 1024 * 1024
     }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
@@ -10,6 +10,9 @@
     public val freshConnection: Boolean = false,
     /** Value of the Host header; null to use the address. */
     public val host: String? = null,
-    /** How the answer is recognised; null if servers do not name requests of this kind in their answers. */
+    /**
+     * How the answer is recognised; null if servers do not name requests of this kind in their answers. Such a request shares its
+     * connection with no other.
+     */
     public val correlation: Correlation? = null,
 )
