Skip a late second answer and wait for the answer to the request

What callers saw: 502 for a request that its server answered, and a second run of it. The server's late second answer to an earlier request came first, the exchange counted as broken, and its own answer, already on its way, was dropped.

An answer that names another request, or none, on a connection that was used before is now read to its end and dropped; the own answer follows, and the connection is closed after it. An answer without a stated end, one on a new connection, and more than 1 MiB of them end the exchange at once. Ruled out as a danger: only an answer with the request's own ID is passed on.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -14,8 +14,8 @@
 
 /**
  * Client side of one connection: writes a request and passes on what is received until the end of its answer. Each received message
- * is attributed on the event loop, in the order in which it was received, so that no part of an answer reaches another exchange. The
- * connection is closed when an answer is received that does not name the request.
+ * is attributed on the event loop, in the order in which it was received, so that no part of an answer reaches another exchange. An
+ * answer that does not name the request is skipped; the connection is used no more after it.
  */
 internal class ClientConnection(
     private val clock: Clock,
@@ -23,7 +23,7 @@
     /** Called when an exchange has ended and the connection can be used again; with the time for which the server keeps it. */
     private val onIdle: (ClientConnection, serverIdleLimit: Duration?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
-    private enum class Phase { AWAITING_HEAD, RECEIVING }
+    private enum class Phase { AWAITING_HEAD, RECEIVING, SKIPPING }
 
     private lateinit var context: ChannelHandlerContext
 
@@ -40,6 +40,10 @@
     /** Hash codes of the IDs that the connection has carried. A second answer to one of them could not be told from the first. */
     private val carriedIds = HashSet<Int>()
 
+    /** True once an answer was received that no request was waiting for; the answer to one may still be to come. */
+    private var isOutOfStep = false
+    private var skippedBytes = 0L
+
     /** Number of informational responses in a row. */
     private var informationalCount = 0
 
@@ -132,7 +136,7 @@
         message: HttpResponse,
     ) {
         if (message.decoderResult().isFailure) return fail(current, "malformed answer")
-        if (isForeign(message)) return fail(current, "the answer belongs to another request")
+        if (isForeign(message)) return skip(current, message)
         phase = Phase.RECEIVING
         head = message
         current.onHead(message)
@@ -149,6 +153,17 @@
         return true
     }
 
+    /** Skips an answer to an earlier exchange, unless there was none, or the answer has no stated end after which another could come. */
+    private fun skip(
+        current: HttpClientResponse,
+        message: HttpResponse,
+    ) {
+        isOutOfStep = true
+        val hasStatedEnd = HttpUtil.isContentLengthSet(message) || HttpUtil.isTransferEncodingChunked(message)
+        if (exchanges == 1 || !hasStatedEnd) return fail(current, "the answer belongs to another request")
+        phase = Phase.SKIPPING
+    }
+
     private fun receiveContent(
         current: HttpClientResponse,
         message: HttpContent,
@@ -161,6 +176,12 @@
                 fail(current, "a body without a head")
             }
 
+            Phase.SKIPPING -> {
+                skippedBytes += message.content().readableBytes()
+                if (skippedBytes > MAX_SKIPPED_BYTES) return fail(current, "too many bytes of other answers")
+                if (isLast) phase = Phase.AWAITING_HEAD
+            }
+
             Phase.RECEIVING -> {
                 val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
                 current.onBody(bytes, isLast)
@@ -175,7 +196,7 @@
         response = null
         head = null
         endedAt = clock.elapsed()
-        val isReusable = isWritten && correlation != null && exchanges < MAX_EXCHANGES
+        val isReusable = isWritten && !isOutOfStep && correlation != null && exchanges < MAX_EXCHANGES
         if (lastHead == null || !isReusable || !HttpUtil.isKeepAlive(lastHead)) {
             context.close()
             return
@@ -220,6 +241,9 @@
         /** More than any server sends; without a limit they could come for ever. */
         const val MAX_INFORMATIONAL = 16
 
+        /** Bytes of other answers that are skipped before the connection is given up. */
+        const val MAX_SKIPPED_BYTES = 1024 * 1024
+
         /** Exchanges of one connection; bounds the IDs that are remembered. */
         const val MAX_EXCHANGES = 256
         val TIMEOUT = Regex("timeout=(\\d+)")
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -22,7 +22,8 @@
     override fun classify(response: HttpClientResponse): ServerVerdict =
         if (response.header("not-run") == null) ServerVerdict.ANSWER else ServerVerdict.NOT_RUN
 
-    override fun noticeOf(response: HttpClientResponse) = ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
+    override fun noticeOf(response: HttpClientResponse) =
+        ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
 
     override fun responseHeaders(response: HttpClientResponse): Map<String, String> = emptyMap()
 
