Handle no request after the last response of a caller's connection

Callers who pipeline would see: a request that follows one with `Connection: close`, a 400 or 413, or a response that was broken off is run, and its response cannot arrive. By the code, a process that is stopped and closes its connections with each response does the same.

Cause: the connection went on handling its queued and its incoming messages until Netty reported it closed. Whether the connection still had a response to send was known to the responder only.

The responder says whether the connection can be used on, and the connection discards all input once it cannot.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -44,6 +44,9 @@
     private var requestInProgress = false
     private var closeTimer: ScheduledFuture<*>? = null
 
+    /** True once no further response can be sent on this connection; all input that follows is discarded. */
+    private var isEnding = false
+
     override fun channelActive(ctx: ChannelHandlerContext) {
         closeAfter(ctx, options.idleTimeout)
         ctx.fireChannelActive()
@@ -53,8 +56,7 @@
         closeTimer?.cancel(false)
         body.release()
         body = Unpooled.EMPTY_BUFFER
-        pending.forEach(ReferenceCountUtil::release)
-        pending.clear()
+        discardInput()
         handlerJob?.cancel(CancellationException("the caller left"))
         ctx.fireChannelInactive()
     }
@@ -72,7 +74,9 @@
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        if (requestInProgress) {
+        if (isEnding) {
+            ReferenceCountUtil.release(message)
+        } else if (requestInProgress) {
             // A pipelined request is queued until the current one is answered; reading is paused to bound the queue.
             pending.addLast(message)
             ctx.channel().config().isAutoRead = false
@@ -95,10 +99,16 @@
 
     private fun processPending(ctx: ChannelHandlerContext) {
         requestInProgress = false
-        while (!requestInProgress) process(ctx, pending.removeFirstOrNull() ?: break)
+        while (!requestInProgress && !isEnding) process(ctx, pending.removeFirstOrNull() ?: break)
         ctx.channel().config().isAutoRead = pending.isEmpty()
     }
 
+    private fun discardInput() {
+        isEnding = true
+        pending.forEach(ReferenceCountUtil::release)
+        pending.clear()
+    }
+
     private fun onRequestHead(
         ctx: ChannelHandlerContext,
         request: HttpRequest,
@@ -182,7 +192,7 @@
             throw e
         } catch (e: IOException) {
             log.debug("answer_failed", "error" to e.message)
-            ctx.close()
+            responder.abort()
         } catch (e: Throwable) {
             if (e.isFatal) throw e
             log.error("request_failed", "path" to call.path, "error" to e)
@@ -190,7 +200,7 @@
         }
         ctx.channel().eventLoop().execute {
             closeAfter(ctx, options.idleTimeout)
-            processPending(ctx)
+            if (responder.keepsConnection) processPending(ctx) else discardInput()
         }
     }
 
@@ -214,6 +224,7 @@
         error: ApiError,
     ) {
         requestHead = null
+        discardInput()
         val response = error.toResponse(null)
         val nettyResponse = toNettyResponse(response, keepAlive = false)
         ctx.writeAndFlush(nettyResponse).addListener(ChannelFutureListener.CLOSE)
--- a/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -21,7 +21,10 @@
     private val writeTimeout: Duration,
 ) : HttpResponder {
     private var streaming = false
-    private var keepsConnection = true
+
+    /** False once the connection ends with this response, because the client was told so or because the response was aborted. */
+    var keepsConnection = true
+        private set
 
     /** True once the response was sent or aborted. */
     var isDone = false
@@ -64,6 +67,7 @@
 
     override fun abort() {
         isDone = true
+        keepsConnection = false
         ctx.close()
     }
 
@@ -71,6 +75,7 @@
     fun fail() {
         if (streaming || isDone) return abort()
         isDone = true
+        keepsConnection = false
         val error = ApiError(ErrorCode.INTERNAL, "the request failed inside the system", Ran.OUTCOME_UNKNOWN)
         ctx.writeAndFlush(toNettyResponse(error.toResponse(null), keepAlive = false)).addListener(ChannelFutureListener.CLOSE)
     }
