Send no body after the response to a HEAD request

Callers who send HEAD on a kept connection would read the body of an error of our own, or the chunks of a stream, as the start of the answer to their next request, and every later answer on that connection in the wrong place.

Cause: the responder did not know the method of the request; a client takes the bytes after such a head by their position.

The responder is told that the request is HEAD and sends the head alone; an error keeps the length that its body would have, a stream has none.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -117,15 +118,15 @@
         val cause = request.decoderResult().cause()
         when {
             cause != null -> {
-                reject(ctx, malformedError(cause))
+                reject(ctx, request, malformedError(cause))
             }
 
             request.protocolVersion() !in VERSIONS || !hasSupportedFraming(request) -> {
-                reject(ctx, ApiError(ErrorCode.MALFORMED_REQUEST, "the version or the transfer encoding is not supported"))
+                reject(ctx, request, ApiError(ErrorCode.MALFORMED_REQUEST, "the version or the transfer encoding is not supported"))
             }
 
             HttpUtil.getContentLength(request, 0L) > options.maxBodyBytes -> {
-                reject(ctx, bodyTooLargeError())
+                reject(ctx, request, bodyTooLargeError())
             }
 
             else -> {
@@ -145,11 +146,11 @@
         val cause = content.decoderResult().cause()
         when {
             cause != null -> {
-                reject(ctx, malformedError(cause))
+                reject(ctx, request, malformedError(cause))
             }
 
             body.readableBytes() + content.content().readableBytes() > options.maxBodyBytes -> {
-                reject(ctx, bodyTooLargeError())
+                reject(ctx, request, bodyTooLargeError())
             }
 
             else -> {
@@ -171,11 +172,11 @@
             try {
                 HttpServerRequest(request.method().name(), uri.path(), uri.parameters(), headersOf(request), bytes, request.uri())
             } catch (e: IllegalArgumentException) {
-                reject(ctx, malformedError(e))
+                reject(ctx, request, malformedError(e))
                 return
             }
         requestInProgress = true
-        val responder = NettyResponder(ctx, { HttpUtil.isKeepAlive(request) && !isDraining() }, options.writeTimeout)
+        val responder = NettyResponder(ctx, isHead(request), { HttpUtil.isKeepAlive(request) && !isDraining() }, options.writeTimeout)
         handlerJob = scope.launch { handle(ctx, call, responder) }
     }
 
@@ -206,6 +207,8 @@
 
     private fun headersOf(request: HttpRequest): Map<String, List<String>> = request.headers().groupBy({ it.key.lowercase() }, { it.value })
 
+    private fun isHead(request: HttpRequest): Boolean = request.method() == HttpMethod.HEAD
+
     private fun hasSupportedFraming(request: HttpRequest): Boolean {
         val encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         return encodings.isEmpty() || (encodings.size == 1 && encodings.single().equals("chunked", ignoreCase = true))
@@ -221,12 +224,13 @@
 
     private fun reject(
         ctx: ChannelHandlerContext,
+        request: HttpRequest,
         error: ApiError,
     ) {
         requestHead = null
         discardInput()
         val response = error.toResponse(null)
-        val nettyResponse = toNettyResponse(response, keepAlive = false)
+        val nettyResponse = toNettyResponse(response, keepAlive = false, withBody = !isHead(request))
         ctx.writeAndFlush(nettyResponse).addListener(ChannelFutureListener.CLOSE)
     }
 
@@ -246,12 +250,15 @@
     }
 }
 
+/** Encodes [response]. The response to a HEAD request has no body, but the length that it would have. */
 internal fun toNettyResponse(
     response: HttpResponse,
     keepAlive: Boolean,
+    withBody: Boolean,
 ): DefaultFullHttpResponse {
     val status = HttpResponseStatus.valueOf(response.status)
-    val nettyResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(response.body))
+    val body = if (withBody) Unpooled.wrappedBuffer(response.body) else Unpooled.EMPTY_BUFFER
+    val nettyResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
     response.headers.forEach { (name, value) -> nettyResponse.headers().set(name, value) }
     response.contentType?.let { nettyResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
     nettyResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
--- a/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -13,10 +14,13 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import kotlin.time.Duration
+import io.netty.handler.codec.http.HttpResponse as NettyHttpResponse
 
 /** [HttpResponder] on a Netty connection. */
 internal class NettyResponder(
     private val ctx: ChannelHandlerContext,
+    /** True if a HEAD request is answered: a client would read a body as the start of its next response. */
+    private val isHead: Boolean,
     private val keepAlive: () -> Boolean,
     private val writeTimeout: Duration,
 ) : HttpResponder {
@@ -34,7 +38,7 @@
         check(!streaming && !isDone) { "a response was already sent" }
         isDone = true
         keepsConnection = keepAlive()
-        write(toNettyResponse(response, keepsConnection), last = true)
+        write(toNettyResponse(response, keepsConnection, withBody = !isHead), last = true)
     }
 
     override suspend fun startStream(
@@ -45,24 +49,28 @@
         check(!streaming && !isDone) { "a response was already sent" }
         streaming = true
         keepsConnection = keepAlive()
-        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        val response = newStreamHead(HttpResponseStatus.valueOf(status))
         response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
         headers.forEach { (name, value) -> response.headers().set(name, value) }
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (!isHead) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         setConnection(response.headers(), keepsConnection)
         write(response)
     }
 
+    /** The head of a streamed response; for a HEAD request it is the complete response. */
+    private fun newStreamHead(status: HttpResponseStatus): NettyHttpResponse =
+        if (isHead) DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status) else DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+
     override suspend fun sendPart(bytes: ByteArray) {
         check(streaming && !isDone) { "no streamed response is in progress" }
-        write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (!isHead) write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
     }
 
     override suspend fun endStream() {
         check(streaming && !isDone) { "no streamed response is in progress" }
         isDone = true
-        write(LastHttpContent.EMPTY_LAST_CONTENT, last = true)
+        write(if (isHead) Unpooled.EMPTY_BUFFER else LastHttpContent.EMPTY_LAST_CONTENT, last = true)
     }
 
     override fun abort() {
@@ -77,7 +85,10 @@
         isDone = true
         keepsConnection = false
         val error = ApiError(ErrorCode.INTERNAL, "the request failed inside the system", Ran.OUTCOME_UNKNOWN)
-        ctx.writeAndFlush(toNettyResponse(error.toResponse(null), keepAlive = false)).addListener(ChannelFutureListener.CLOSE)
+        ctx
+            .writeAndFlush(
+                toNettyResponse(error.toResponse(null), keepAlive = false, withBody = !isHead),
+            ).addListener(ChannelFutureListener.CLOSE)
     }
 
     private suspend fun write(
