Let a complete response stand when its handler fails afterwards

Cause: the responder counted a response as begun before its head was built, and aborted the connection for each failure after that, also when nothing or everything had been handed over.

Evidence, FailureAfterResponseSpec before: 4 of 5 tests fail in three runs out of three; the request after the failure gets no answer (whole and streamed), and a head that cannot be encoded gives 0 bytes in place of a 500. The fifth, a failure within a stream, breaks it off before and after.

A complete response stands and the connection goes on; the state changes only once the head is built; a response that could not be written closes the connection, since the next one would be taken for it (this last line is not shown by a test). After: 5 of 5 in two runs, HeadRequestSpec 4 of 4, ConnectionEndSpec 8 of 8, HttpServerSpec 12 of 12.

--- a/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -36,9 +36,11 @@
 
     override suspend fun respond(response: HttpResponse) {
         check(!streaming && !isDone) { "a response was already sent" }
+        val isKeptAlive = keepAlive()
+        val message = toNettyResponse(response, isKeptAlive, withBody = !isHead)
         isDone = true
-        keepsConnection = keepAlive()
-        write(toNettyResponse(response, keepsConnection, withBody = !isHead), last = true)
+        keepsConnection = isKeptAlive
+        write(message, last = true)
     }
 
     override suspend fun startStream(
@@ -47,14 +49,15 @@
         headers: Map<String, String>,
     ) {
         check(!streaming && !isDone) { "a response was already sent" }
-        streaming = true
-        keepsConnection = keepAlive()
+        val isKeptAlive = keepAlive()
         val response = newStreamHead(HttpResponseStatus.valueOf(status))
         response.headers().set(HttpHeaderNames.CACHE_CONTROL, HttpHeaderValues.NO_CACHE)
         headers.forEach { (name, value) -> response.headers().set(name, value) }
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
         if (!isHead) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        setConnection(response.headers(), keepsConnection)
+        setConnection(response.headers(), isKeptAlive)
+        streaming = true
+        keepsConnection = isKeptAlive
         write(response)
     }
 
@@ -79,9 +82,10 @@
         ctx.close()
     }
 
-    /** Responds with an internal error, or aborts if the response was already started. */
+    /** Responds with an internal error, or aborts if the response was already started. A complete response stands. */
     fun fail() {
-        if (streaming || isDone) return abort()
+        if (isDone) return
+        if (streaming) return abort()
         isDone = true
         keepsConnection = false
         val error = ApiError(ErrorCode.INTERNAL, "the request failed inside the system", Ran.OUTCOME_UNKNOWN)
@@ -96,7 +100,8 @@
         last: Boolean = false,
     ) {
         val future = ctx.writeAndFlush(message)
-        if (last && !keepsConnection) future.addListener(ChannelFutureListener.CLOSE)
+        // After a response that could not be written, the next one would be taken for it.
+        future.addListener(if (last && !keepsConnection) ChannelFutureListener.CLOSE else ChannelFutureListener.CLOSE_ON_FAILURE)
         if (ctx.channel().isWritable) return
         withTimeoutOrNull(writeTimeout) { future.awaitChannel() } ?: run {
             ctx.close()
