--- a/kernel/src/main/kotlin/anvilslip/kernel/FatalErrors.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/FatalErrors.kt
@@ -2,9 +2,9 @@
 
 /**
  * True if the process cannot be relied upon after this error, such as an [OutOfMemoryError]: any thread may have failed to complete what
- * it had begun. An input that is nested too deeply affects only its own thread.
+ * it had begun. An input that is nested too deeply affects only its own thread. A [PartFailedError] is fatal as well.
  */
-public val Throwable.isFatal: Boolean get() = this is VirtualMachineError && this !is StackOverflowError
+public val Throwable.isFatal: Boolean get() = this is PartFailedError || (this is VirtualMachineError && this !is StackOverflowError)
 
 /**
  * Logs exceptions that no thread or coroutine handles, and ends the process after a fatal error, so that it is started again instead of
