Go on writing the log after the console failed once

Operators see no further line of a process whose console fails once with anything but an I/O error, which PrintStream hides.

Cause: the error ends the thread that writes the log. Later lines fill the queue and are dropped.

Change: the batch is lost and counted as one dropped line; the thread goes on. A fatal error still ends the process.

Evidence: BoundedConsoleAppenderSpec, "writes the lines that follow", fails on the code before (nothing is written after the failure) and passes.

--- a/kernel/src/main/kotlin/anvilslip/kernel/BoundedConsoleAppender.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/BoundedConsoleAppender.kt
@@ -50,7 +50,13 @@
             val first = queue.take()
             // Waits for more lines, so that they are written as one batch.
             if (!isStopping) Thread.sleep(BATCH_DELAY_MILLIS)
-            writeBatch(first, output)
+            try {
+                writeBatch(first, output)
+            } catch (e: Throwable) {
+                if (e.isFatal) throw e
+                // There is nowhere to log it. The loss of the batch is reported with the next one.
+                droppedLines.incrementAndGet()
+            }
         }
     }
 
--- a/kernel/src/test/kotlin/anvilslip/kernel/BoundedConsoleAppenderSpec.kt
+++ b/kernel/src/test/kotlin/anvilslip/kernel/BoundedConsoleAppenderSpec.kt
@@ -48,8 +48,51 @@
                 }
             }
         }
+
+        describe("BoundedConsoleAppender whose console fails once") {
+            // Guards against a process that writes no line to its log any more.
+            it("writes the lines that follow") {
+                val originalErr = System.err
+                val written = ByteArrayOutputStream()
+                var failure: Throwable? = IllegalStateException("unexpected")
+                val failingStream =
+                    object : PrintStream(written) {
+                        override fun write(bytes: ByteArray) {
+                            failure?.let {
+                                failure = null
+                                throw it
+                            }
+                            written.write(bytes)
+                        }
+                    }
+                System.setErr(failingStream)
+                try {
+                    val context = LoggerContext()
+                    val appender = BoundedConsoleAppender()
+                    appender.context = context
+                    appender.encoder =
+                        PatternLayoutEncoder().apply {
+                            this.context = context
+                            pattern = "%msg%n"
+                            start()
+                        }
+                    appender.start()
+                    for (line in listOf("first", "second")) {
+                        appender.doAppend(LoggingEvent("", context.getLogger("a"), Level.INFO, line, null, null))
+                        Thread.sleep(BATCH_MILLIS)
+                    }
+                    appender.stop()
+                    written.toString() shouldBe "second\nevent=log_lines_dropped count=1\n"
+                } finally {
+                    System.setErr(originalErr)
+                }
+            }
+        }
     }) {
     private companion object {
         const val LINE_COUNT = 20_000
+
+        /** Long enough for a line to be written before the next one is appended. */
+        const val BATCH_MILLIS = 300L
     }
 }
