Restart a replica that fails while it restarts, or by a foreign cancellation

Operators would see a control instance that answers no change and no read, although restarts replicas that fail.

Cause: while a replica reads what is stored it catches Exception, so that an Error that is not fatal (a failed assertion, a stack overflow in a decoder) ends it. A CancellationException thrown by something the replica calls ends it without a line in the log, since it is taken for its own.

Evidence: ReplicaSpec, "restarts from its storage and serves again after an error while it reads what is stored" and "restarts after a call that was cancelled elsewhere": on the code before no answer within 10 s in both; after, both pass.

--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -8,13 +8,14 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.random.Random
@@ -111,10 +112,9 @@
         while (true) {
             try {
                 processInputs()
-            } catch (e: CancellationException) {
-                throw e
             } catch (e: Throwable) {
                 if (e.isFatal) throw e
+                currentCoroutineContext().ensureActive()
                 suspendAfterFailure(e)
             }
             reopenStorage()
@@ -148,7 +148,8 @@
             try {
                 open()
                 return
-            } catch (e: Exception) {
+            } catch (e: Throwable) {
+                if (e.isFatal) throw e
                 log.warn("storage_reopen_failed", "error" to e)
                 storage.close()
             }
--- a/state/src/test/kotlin/anvilslip/state/ReplicaSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/ReplicaSpec.kt
@@ -6,6 +6,7 @@
 import io.kotest.engine.spec.tempdir
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.nio.file.Path
@@ -24,6 +25,18 @@
             @Volatile
             var failure: Throwable? = null
 
+            /** Failure of the next attempt to read what is stored. */
+            @Volatile
+            var recoveryFailure: Throwable? = null
+
+            override fun recover(): RecoveredData {
+                recoveryFailure?.let {
+                    recoveryFailure = null
+                    throw it
+                }
+                return storage.recover()
+            }
+
             override fun store(output: ReplicaOutput) {
                 failure?.let {
                     failure = null
@@ -67,6 +80,28 @@
             }
         }
 
+        describe("a replica whose storage or restart fails with something other than an exception of the storage") {
+            it("restarts from its storage and serves again after an error while it reads what is stored") {
+                val storage = FailingStorage(tempdir().toPath())
+                withReplica(storage) { replica ->
+                    propose(replica) shouldBe true
+                    storage.recoveryFailure = AssertionError("unexpected")
+                    storage.failure = IllegalStateException("unexpected")
+                    propose(replica) shouldBe true
+                }
+            }
+
+            // A cancellation that does not come from the replica's own coroutine would end it without a line in the log.
+            it("restarts after a call that was cancelled elsewhere") {
+                val storage = FailingStorage(tempdir().toPath())
+                withReplica(storage) { replica ->
+                    propose(replica) shouldBe true
+                    storage.failure = CancellationException("elsewhere")
+                    propose(replica) shouldBe true
+                }
+            }
+        }
+
         describe("a replica that applies large documents") {
             // Guards against a log that grows by the size of every change until neither the memory nor the disk holds it.
             it("keeps its log within the limits in bytes") {
