Go on polling the leader after an error

Callers of an instance of the own interface would get refusals for every request with a key, until the instance is restarted.

Cause: the loop that polls the leader ends with the first error, for example a change that cannot be applied. The configuration then counts as outdated for ever, while the process counts as running.

Change: it is a supervised part. If each poll fails, the process ends and reads the whole configuration after its start.

Evidence: ControlServiceSpec, "goes on after an error": not fresh within 5 s on the code before; passes after.

--- a/control/src/main/kotlin/anvilslip/control/ControlService.kt
+++ b/control/src/main/kotlin/anvilslip/control/ControlService.kt
@@ -5,6 +5,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
 import anvilslip.kernel.Timeline
+import anvilslip.kernel.launchSupervised
 import anvilslip.policy.AdapterUse
 import anvilslip.policy.AdapterVersion
 import anvilslip.policy.Announcement
@@ -34,7 +35,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.withLock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -106,9 +106,10 @@
     public val isFresh: Boolean get() = clock.elapsed() < freshUntil
 
     override suspend fun start() {
-        scope.launch {
+        scope.launchSupervised("control") { recordProgress ->
             while (true) {
                 poll()
+                recordProgress()
                 delay(if (useLeases.isEmpty) pollInterval * IDLE_POLL_FACTOR else pollInterval)
             }
         }
