Go on with the leader's periodic work and its loads after an error

Callers of the own interface would wait for adapters that nobody loads, under a leader that keeps its lease.

Cause: the leader's tick ends with the first error. An error in a load besides ends its coroutine before the outcome is recorded, so that the server is taken to be loading.

Change: the tick is a supervised periodic part; a load that fails in any way is recorded as failed.

Evidence: LeaderServiceSpec, "go on after an error": fewer than 50 ticks in 10 s on the code before; passes after. The load has no test of its own.

--- a/control/src/main/kotlin/anvilslip/control/LeaderService.kt
+++ b/control/src/main/kotlin/anvilslip/control/LeaderService.kt
@@ -2,8 +2,11 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventKind
+import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
 import anvilslip.kernel.Timeline
+import anvilslip.kernel.isFatal
+import anvilslip.kernel.launchPeriodically
 import anvilslip.policy.Announcement
 import anvilslip.policy.BackendKind
 import anvilslip.policy.CheckpointBounds
@@ -24,7 +27,8 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -45,6 +49,7 @@
     private val timeline: Timeline,
 ) : Service {
     override val name: String = NAME
+    private val log = EventLogger("leader")
 
     @OptIn(ExperimentalCoroutinesApi::class)
     private val leaderDispatcher = Dispatchers.Default.limitedParallelism(1, "leader")
@@ -56,12 +61,7 @@
     private var active: LeaderState? = null
 
     override suspend fun start() {
-        scope.launch {
-            while (true) {
-                delay(TICK_INTERVAL)
-                tick()
-            }
-        }
+        scope.launchPeriodically("leader", TICK_INTERVAL) { tick() }
     }
 
     override suspend fun stop() {
@@ -266,11 +266,26 @@
             )
         }
         timeline.record(EventKind.LOAD_STARTED, fields = fields)
-        val loaded = adapterLoader.load(server, order, fencingToken = leader.term)
+        val loaded = loadOrFail(server, order, leader.term)
         timeline.record(if (loaded) EventKind.LOAD_FINISHED else EventKind.LOAD_FAILED, fields = fields)
         if (active === leader) applyOutput(leader, leader.placement.recordLoadResult(order.server, order.adapter, loaded, clock.elapsed()))
     }
 
+    /** Returns false if the exchange with [server] fails in any way, so that its outcome is always recorded. */
+    private suspend fun loadOrFail(
+        server: Announcement,
+        order: Order.Load,
+        fencingToken: Long,
+    ): Boolean =
+        try {
+            adapterLoader.load(server, order, fencingToken)
+        } catch (e: Throwable) {
+            if (e.isFatal) throw e
+            currentCoroutineContext().ensureActive()
+            log.error("load_failed", "server" to order.server, "adapter" to order.adapter, "error" to e)
+            false
+        }
+
     private suspend fun onGrant(
         leader: LeaderState,
         request: PeerMessage.GrantRequest,
