Listen for HTTP again after the listening channel was closed by a failure

Callers would be refused connections by a process that counts as running.

Cause: Netty closes a listening channel after an error that is not an I/O error. Nothing notices.

Change: a supervised part waits for the end of the channel and listens again. If the address cannot be bound, the process ends.

Evidence: HttpServerSpec, "listens again": no answer within 5 s on the code before; passes after.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.launchSupervised
 import anvilslip.settings.Address
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
@@ -16,6 +17,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -35,12 +37,36 @@
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
-    private var channel: Channel? = null
+    private val acceptScope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    @Volatile
+    private var isAccepting = true
+
+    /** The listening channel. */
+    @Volatile
+    internal var channel: Channel? = null
+        private set
 
     /** Number of requests being handled. */
     public val active: Int get() = job.children.count()
 
     override suspend fun start() {
+        channel = bind()
+        acceptScope.launchSupervised("http-accept") { recordProgress -> keepListening(recordProgress) }
+    }
+
+    /** Listens again after the listening channel was closed by a failure, which Netty does after some errors. */
+    private suspend fun keepListening(recordProgress: () -> Unit) {
+        while (true) {
+            channel?.closeFuture()?.awaitChannel()
+            if (!isAccepting) return
+            log.error("listening_lost", "server" to name, "address" to address)
+            channel = bind()
+            recordProgress()
+        }
+    }
+
+    private suspend fun bind(): Channel {
         val bootstrap =
             ServerBootstrap()
                 .group(group)
@@ -50,12 +76,13 @@
                         override fun initChannel(channel: SocketChannel) = initialize(channel)
                     },
                 )
-        channel = bootstrap.bind(address.host, address.port).awaitChannel()
+        val channel = bootstrap.bind(address.host, address.port).awaitChannel()
         log.info("listening", "server" to name, "address" to address)
+        return channel
     }
 
     override suspend fun stop() {
-        channel?.close()?.awaitChannel()
+        stopAccepting()
         job.cancel()
         group.shutdownGracefully(0, SHUTDOWN_MILLIS, java.util.concurrent.TimeUnit.MILLISECONDS)
     }
@@ -72,6 +99,8 @@
 
     /** Stops accepting connections; open connections continue to be served. */
     public suspend fun stopAccepting() {
+        isAccepting = false
+        acceptScope.coroutineContext[Job]?.cancelAndJoin()
         channel?.close()?.awaitChannel()
     }
 
--- a/entry/src/test/kotlin/anvilslip/entry/http/HttpServerSpec.kt
+++ b/entry/src/test/kotlin/anvilslip/entry/http/HttpServerSpec.kt
@@ -8,9 +8,12 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
 import java.net.ServerSocket
 import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class HttpServerSpec :
@@ -49,6 +52,28 @@
                 it.getInputStream().readBytes().decodeToString()
             }
 
+        describe("a server whose listening channel is closed by a failure") {
+            // Guards against a process that counts as running but accepts no connection any more.
+            it("listens again") {
+                server.channel?.close()?.awaitChannel()
+                val answer =
+                    withTimeoutOrNull(5.seconds) {
+                        var text: String? = null
+                        while (text == null) {
+                            delay(20.milliseconds)
+                            text =
+                                try {
+                                    exchange("GET /again HTTP/1.1\r\nConnection: close\r\n\r\n")
+                                } catch (_: IOException) {
+                                    null
+                                }
+                        }
+                        text
+                    }
+                answer shouldContain "GET /again 0"
+            }
+        }
+
         describe("valid requests") {
             it("are answered") { exchange("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n") shouldContain "GET /a 0" }
 
