Go on updating wait targets after an error

Operators would see a service class that misses its target for ever, or never.

Cause: the periodic update ends with the first error. Change: it is a supervised periodic part.

Evidence: WaitTrackerSpec, "goes on after an error": no second update in 10 s on the code before; passes after.

--- a/entry/src/main/kotlin/anvilslip/entry/completion/WaitTracker.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/WaitTracker.kt
@@ -5,14 +5,13 @@
 import anvilslip.kernel.Metrics
 import anvilslip.kernel.Service
 import anvilslip.kernel.Timeline
+import anvilslip.kernel.launchPeriodically
 import anvilslip.policy.TargetMissDetector
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,12 +26,7 @@
     private val detectors = HashMap<String, TargetMissDetector>()
 
     override suspend fun start() {
-        scope.launch {
-            while (true) {
-                delay(UPDATE_INTERVAL)
-                update()
-            }
-        }
+        scope.launchPeriodically("wait-tracker", UPDATE_INTERVAL) { update() }
     }
 
     override suspend fun stop() {
