Go on watching control instances and reporting suspects after an error

Clients would be served by an entry instance with an old configuration, old servers and an old leader; other instances would learn of its suspects only with its next poll.

Cause: the poll of a control instance ends with the first error, for example one in a reply, and is never started again, since the control instance still counts as watched. The reports of suspects and the search for new control instances are loops of the same kind.

Change: the three are supervised parts. A poll that is started again asks for the whole state.

The search for new control instances has no test of its own.

--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -3,6 +3,8 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.launchPeriodically
+import anvilslip.kernel.launchSupervised
 import anvilslip.policy.EntryInstance
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerMessage
@@ -48,13 +50,8 @@
     private val watched = ConcurrentHashMap.newKeySet<String>()
 
     override suspend fun start() {
-        scope.launch {
-            while (true) {
-                watchNewControls()
-                delay(MEMBERSHIP_POLL)
-            }
-        }
-        scope.launch { reportSuspects() }
+        scope.launchPeriodically("control-membership", MEMBERSHIP_POLL) { watchNewControls() }
+        scope.launchSupervised("suspect-reports") { reportSuspects(it) }
     }
 
     override suspend fun stop() {
@@ -71,7 +68,7 @@
     }
 
     /** Tells all control instances at once of suspects that this instance has found or cleared. */
-    private suspend fun reportSuspects() {
+    private suspend fun reportSuspects(recordProgress: () -> Unit) {
         var reported = 0L
         while (true) {
             clusterView.suspects.awaitChange(reported)
@@ -80,6 +77,7 @@
             reported = update.revision
             if (update.reports.isEmpty()) continue
             for (control in clusterView.controlHosts - host) network.send(control, PeerMessage.SuspectUpdate(update.reports))
+            recordProgress()
         }
     }
 
@@ -87,8 +85,8 @@
         for (control in clusterView.controlHosts - host - watched) {
             watched += control
             network.connectTo(control, PeerAddress(control, peerPort))
-            scope.launch {
-                watch(control)
+            scope.launchSupervised("watch") { recordProgress ->
+                watch(control, recordProgress)
                 network.disconnect(control)
                 watched -= control
             }
@@ -96,7 +94,10 @@
     }
 
     /** Polls [control] until it is no longer known as a control instance. */
-    private suspend fun watch(control: String) {
+    private suspend fun watch(
+        control: String,
+        recordProgress: () -> Unit,
+    ) {
         var position = Position()
         var reachable = false
         while (control in clusterView.controlHosts) {
@@ -107,6 +108,7 @@
             reachable = reply != null
             reply?.let { applyReply(control, it) }
             position = reply?.let(position::after) ?: position.copy(hasAllSuspects = false)
+            recordProgress()
             val pause = if (reply == null) RETRY_DELAY else MIN_INTERVAL - (clock.elapsed() - sentAt)
             if (pause.isPositive()) delay(pause)
         }
