Go on with the leader's periodic work after an error

Clients would wait for adapters and models that nobody loads, under a leader that keeps its lease and answers.

Cause: the tick of LeaderDispatch ends with the first error. Orders are never taken over, engines never queried, limits keep their share.

Change: it is a supervised periodic part.

Evidence: LeaderDispatchSpec, "goes on after an error in its periodic work": no order within 8 s on the code before; passes after.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -3,6 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.launchPeriodically
 import anvilslip.policy.Admission
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
@@ -67,12 +68,7 @@
         get() = termState.find(replicaView().term)?.let { synchronized(lock) { it.dispatcher.runningRequests } } ?: 0
 
     override suspend fun start() {
-        scope.launch {
-            while (true) {
-                tick()
-                delay(TICK_INTERVAL)
-            }
-        }
+        scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
     }
 
     override suspend fun stop() {
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -1,9 +1,13 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.SystemClock
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.DispatchRequest
+import anvilslip.policy.EngineInventory
+import anvilslip.policy.EngineProfile
+import anvilslip.policy.ModelProfile
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerPhase
@@ -18,8 +22,11 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 class LeaderDispatchSpec :
@@ -65,4 +72,59 @@
                 leader.runningRequests shouldBe 1
             }
         }
+
+        describe("a leader in which something fails once") {
+            val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
+            val profile = EngineProfile(4, 1_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
+
+            /** A leader of one engine without a model. */
+            fun leaderOfEngine(
+                engineClient: EngineClient,
+                view: () -> ReplicaView,
+            ): LeaderDispatch {
+                val engines = ServingConfiguration(1, services = mapOf("llm" to BackendService("llm", 100, profile)))
+                val clusterView = ClusterView({ engines.right() }, SystemClock, emptySet(), heartbeat = 10.seconds)
+                clusterView.applyDocument(ConfigurationDocument(1, "text"))
+                val report = ServerReport("a", "llm", "a:80", "z1", ServerPhase.READY, 1, 1, slots = 4, models = emptyList())
+                clusterView.recordReport(report, direct = true)
+                val watches = WatchResponder("c", "x", clusterView, view, SystemClock)
+                return LeaderDispatch(
+                    view,
+                    clusterView,
+                    watches,
+                    engineClient,
+                    DispatchOptions(),
+                    OrderHandover(Duration.ZERO, false),
+                    SystemClock,
+                )
+            }
+
+            val leading =
+                ReplicaView(ReplicaId("c", "x"), ReplicaRole.LEADER, term = 3, leaseUntil = SystemClock.elapsed() + 1.minutes)
+
+            suspend fun ordersSent(
+                engineClient: ScriptedEngineClient,
+                count: Int,
+            ): Boolean =
+                withTimeoutOrNull(8.seconds) {
+                    while (engineClient.sentOrders.size < count) delay(10.milliseconds)
+                } != null
+
+            // Guards against a leader that keeps its lease but sends no orders and follows no change of the servers any more.
+            it("goes on after an error in its periodic work") {
+                var failure: Throwable? = AssertionError("unexpected")
+                val engineClient = ScriptedEngineClient(OrderReply.TAKEN, inventory = EngineInventory(0, emptyList()))
+                val leader =
+                    leaderOfEngine(engineClient) {
+                        failure?.let {
+                            failure = null
+                            throw it
+                        }
+                        leading
+                    }
+                leader.start()
+                ordersSent(engineClient, 1) shouldBe true
+                leader.stop()
+            }
+        }
     })
