Record the outcome of an order to an engine whose exchange fails unexpectedly

Clients would not get an engine any more until the next leader: after an error while it sends an order, the leader takes the engine to be loading for ever.

Cause: the error ends the coroutine of the order before its outcome is recorded.

Change: an exchange that fails in any way counts as unanswered, since the engine may have received the order. The engine is queried again before its next order.

Evidence: LeaderDispatchSpec, "sends an engine another order after an error while it sent one": no second order in 8 s on the code before; passes after.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -3,6 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.isFatal
 import anvilslip.kernel.launchPeriodically
 import anvilslip.policy.Admission
 import anvilslip.policy.DispatchDecision
@@ -21,7 +22,9 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -226,7 +229,7 @@
         term: LeaderTerm,
         server: ServerReport,
     ) = serverLock(term, server.id).withLock {
-        val inventory = engineClient.queryInventory(server.id, server.address)
+        val inventory = orNullOnFailure(server.id) { engineClient.queryInventory(server.id, server.address) }
         log.info(
             "server_surveyed",
             "server" to server.id,
@@ -291,7 +294,8 @@
     ): OrderReply {
         val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
-        val reply = engineClient.sendOrder(order, term.number)
+        // The engine may have received an order whose exchange failed.
+        val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, term.number) } ?: OrderReply.UNANSWERED
         log.info(
             if (order.isLoad) "load_ordered" else "unload_ordered",
             "server" to order.server,
@@ -305,6 +309,20 @@
         return reply
     }
 
+    /** Returns the result of [exchange], or null if it fails, so that its outcome is recorded and [server] receives further orders. */
+    private suspend fun <T : Any> orNullOnFailure(
+        server: String,
+        exchange: suspend () -> T?,
+    ): T? =
+        try {
+            exchange()
+        } catch (e: Throwable) {
+            if (e.isFatal) throw e
+            currentCoroutineContext().ensureActive()
+            log.error("engine_exchange_failed", "server" to server, "error" to e)
+            null
+        }
+
     private fun serverLock(
         term: LeaderTerm,
         server: String,
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -126,5 +126,25 @@
                 ordersSent(engineClient, 1) shouldBe true
                 leader.stop()
             }
+
+            // Guards against an engine that is taken to be loading for ever, because the outcome of its order was never recorded.
+            it("sends an engine another order after an error while it sent one") {
+                val scripted = ScriptedEngineClient(OrderReply.TAKEN, OrderReply.TAKEN, inventory = EngineInventory(0, emptyList()))
+                val failing =
+                    object : EngineClient by scripted {
+                        override suspend fun sendOrder(
+                            order: EngineOrder,
+                            fencingToken: Long,
+                        ): OrderReply {
+                            val reply = scripted.sendOrder(order, fencingToken)
+                            if (scripted.sentOrders.size == 1) throw AssertionError("unexpected")
+                            return reply
+                        }
+                    }
+                val leader = leaderOfEngine(failing) { leading }
+                leader.start()
+                ordersSent(scripted, 2) shouldBe true
+                leader.stop()
+            }
         }
     })
