Go on reporting the progress of requests after an error

Clients would be refused or wait although servers have room: the leader takes requests of the instance to be running until their deadlines.

Cause: the loop that sends the reports ends with the first error, for example one in the description of a running request.

Change: it is a supervised part. The events of the batch that failed are lost; the leader expires these requests at their deadlines.

Evidence: ProgressReporterSpec, "goes on after an error": no report within 5 s on the code before; passes after.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -1,6 +1,7 @@
 package anvilslip.gateway
 
 import anvilslip.kernel.Service
+import anvilslip.kernel.launchSupervised
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
 import anvilslip.policy.RunningRequest
@@ -13,7 +14,6 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -30,10 +30,11 @@
     private var lastReportedTerm = 0L
 
     override suspend fun start() {
-        scope.launch {
+        scope.launchSupervised("progress") { recordProgress ->
             for (first in events) {
                 delay(BATCH_DELAY)
                 sendBatch(first)
+                recordProgress()
             }
         }
     }
