Go on storing quarantines after an error

A request that crashes servers would come back after a kill of all processes, since its quarantine was never stored.

Cause: the loop of QuarantineStore ends with the first error. Change: it is a supervised periodic part.

Evidence: QuarantineStoreSpec, "is stored although an error occurred while another one was stored": not stored within 5 s on the code before; passes after.

--- a/gateway/src/main/kotlin/anvilslip/gateway/QuarantineStore.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/QuarantineStore.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
+import anvilslip.kernel.launchPeriodically
 import anvilslip.policy.SuspectReport
 import anvilslip.state.Command
 import anvilslip.state.ReplicatedState
@@ -10,8 +11,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -35,12 +34,7 @@
     private var restored = emptyMap<String, Set<String>>()
 
     override suspend fun start() {
-        scope.launch {
-            while (true) {
-                store()
-                delay(STORE_INTERVAL)
-            }
-        }
+        scope.launchPeriodically("quarantine-store", STORE_INTERVAL) { store() }
     }
 
     override suspend fun stop() {
--- a/gateway/src/test/kotlin/anvilslip/gateway/QuarantineStoreSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/QuarantineStoreSpec.kt
@@ -7,7 +7,12 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** Guards against requests that crash servers being sent again after all processes were killed. */
 class QuarantineStoreSpec :
@@ -17,8 +22,13 @@
             var state = ReplicatedState()
             val commands = mutableListOf<Command>()
             var isCommitting = true
+            var failure: Throwable? = null
 
             fun commit(command: Command): Boolean {
+                failure?.let {
+                    failure = null
+                    throw it
+                }
                 if (!isCommitting) return false
                 commands += command
                 state = state.apply(command, 0).state
@@ -75,6 +85,18 @@
                 cluster.commands.size shouldBe 1
             }
 
+            it("is stored although an error occurred while another one was stored") {
+                val cluster = Cluster().apply { failure = AssertionError("unexpected") }
+                val control = Control(cluster).apply { crash("r", "a", "b", "c") }
+                control.store.start()
+                val stored =
+                    withTimeoutOrNull(5.seconds) {
+                        while (cluster.state.quarantines.isEmpty()) delay(10.milliseconds)
+                    }
+                stored shouldNotBe null
+                control.store.stop()
+            }
+
             it("is kept by a leader that did not know it") {
                 val cluster = Cluster()
                 Control(cluster).apply {
