--- a/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
@@ -39,7 +39,7 @@
     val instance = Instance(settings)
     try {
         runBlocking { instance.start() }
-    } catch (e: Exception) {
+    } catch (e: Throwable) {
         System.err.println("anvilslipd failed to start: ${e.message}")
         Logs.close()
         exitProcess(EXIT_START_FAILED)
