Accept connections from other instances again after a failure

Operators would see an instance that runs but that no other instance can connect to, until somebody ends it: a control instance drops out of the log without a loss of its own, an entry instance is no longer told anything.

Cause: the loop that accepts connections ends with the first failure, for which an open-files limit reached for a moment is enough. Nothing notices. An Error in a connection besides left its socket open.

Change: the loop is a supervised part. While the listening socket is open, an I/O error is logged and accepting goes on 200 ms later, without an end, since ending a process that has no file descriptor left would cut its answers. A closed socket is opened again.

Evidence: PeerNetworkSpec, "accepts connections again after IOException", "... after AssertionError" and "listens again after the socket was closed": not connected within 5 s on the code before; pass after. The open socket after an Error has no test.

--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -5,6 +5,7 @@
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.Service
 import anvilslip.kernel.isFatal
+import anvilslip.kernel.launchSupervised
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
@@ -12,6 +13,7 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.isClosed
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -28,6 +30,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Connections to the other instances. There is one outgoing connection per peer, and answers arrive on the connection on which
@@ -58,6 +61,9 @@
     private val links = ConcurrentHashMap(peers.mapValues { (peer, address) -> createLink(peer, address) })
     private var server: ServerSocket? = null
 
+    /** Opens the listening socket; replaced by tests that bring about its failures. */
+    internal var bind: suspend () -> ServerSocket = { aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true } }
+
     /** Handles incoming messages. Must be set before [start]. */
     public var handler: PeerHandler = PeerHandler { _, _ -> PeerMessage.Failed("not ready") }
 
@@ -65,9 +71,8 @@
     public val connectedPeers: Set<String> get() = links.filterValues { it.isConnected }.keys
 
     override suspend fun start() {
-        val socket = aSocket(selector).tcp().bind(listen.host, listen.port) { reuseAddress = true }
-        server = socket
-        scope.launch { acceptConnections(socket) }
+        server = bind()
+        scope.launchSupervised("peer-accept") { acceptConnections(it) }
         for ((peer, link) in links) open(peer, link)
         scope.launch { checkConnections() }
     }
@@ -124,7 +129,7 @@
         peer: String,
         link: PeerLink,
     ) {
-        linkJobs[peer] = scope.launch { link.run() }
+        linkJobs[peer] = scope.launchSupervised("peer-link") { link.run() }
     }
 
     private suspend fun checkConnections() {
@@ -156,13 +161,26 @@
             closingOnFailure(socket) { PeerConnection.initiate(socket, self, peer, handshake) }
         }
 
-    private suspend fun acceptConnections(server: ServerSocket) {
+    /** Accepts connections; listens again if the listening socket was closed by a failure. */
+    private suspend fun acceptConnections(recordProgress: () -> Unit) {
+        val listening = server?.takeIf { !it.isClosed } ?: bind().also { server = it }
         while (true) {
-            val socket = server.accept()
-            scope.launch { serve(socket) }
+            val socket = acceptOrNull(listening)
+            if (socket == null) delay(ACCEPT_RETRY) else scope.launch { serve(socket) }
+            recordProgress()
         }
     }
 
+    /** Accepts a connection; returns null if that fails although [listening] is open, as it does while no file descriptor is left. */
+    private suspend fun acceptOrNull(listening: ServerSocket): Socket? =
+        try {
+            listening.accept()
+        } catch (e: IOException) {
+            if (listening.isClosed) throw e
+            log.warn("accept_failed", "error" to e)
+            null
+        }
+
     private suspend fun serve(socket: Socket) {
         try {
             val connection =
@@ -173,9 +191,10 @@
         } catch (e: CancellationException) {
             socket.close()
             if (scope.coroutineContext[Job]?.isCancelled == true) throw e
-        } catch (e: Exception) {
-            log.debug("peer_refused", "address" to socket.remoteAddress, "error" to e.message)
+        } catch (e: Throwable) {
             socket.close()
+            if (e.isFatal) throw e
+            if (e is Error) log.error("peer_failed", "error" to e) else log.debug("peer_refused", "error" to e.message)
         }
     }
 
@@ -239,7 +258,7 @@
     ): T =
         try {
             action()
-        } catch (e: Exception) {
+        } catch (e: Throwable) {
             socket.close()
             throw e
         }
@@ -249,6 +268,8 @@
         public const val NAME: String = "peers"
         private const val LIVENESS_CHECKS_PER_TIMEOUT = 4
 
+        private val ACCEPT_RETRY = 200.milliseconds
+
         /** Call ID of a frame that expects no answer. */
         private const val NO_CALL = 0L
     }
--- a/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
@@ -6,11 +6,14 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import io.ktor.network.sockets.ServerSocket as ListeningSocket
+import io.ktor.network.sockets.Socket as PeerSocket
 
 class PeerNetworkSpec :
     DescribeSpec({
@@ -52,6 +55,55 @@
             }
         }
 
+        describe("an instance whose listening socket fails") {
+            /** Listening socket whose first attempt to accept a connection fails, as it does when no file descriptor is left. */
+            class FailingServerSocket(
+                private val socket: ListeningSocket,
+                private val failure: Throwable,
+            ) : ListeningSocket by socket {
+                private var hasFailed = false
+
+                override suspend fun accept(): PeerSocket {
+                    if (hasFailed) return socket.accept()
+                    hasFailed = true
+                    throw failure
+                }
+            }
+
+            // Guards against an instance that runs on but that no other instance can connect to any more.
+            for (failure in listOf(IOException("Too many open files"), AssertionError("unexpected"))) {
+                it("accepts connections again after ${failure::class.simpleName}") {
+                    val ports = listOf(freePort(), freePort())
+                    val a = network("a", ports[0], mapOf("b" to ports[1]))
+                    val b = network("b", ports[1], mapOf("a" to ports[0]))
+                    val bindSocket = b.bind
+                    b.bind = { FailingServerSocket(bindSocket(), failure) }
+                    b.start()
+                    delay(100.milliseconds)
+                    a.start()
+                    awaitConnected(a, "b") shouldBe true
+                    a.stop()
+                    b.stop()
+                }
+            }
+
+            it("listens again after the socket was closed") {
+                val ports = listOf(freePort(), freePort())
+                val a = network("a", ports[0], mapOf("b" to ports[1]))
+                val b = network("b", ports[1], mapOf("a" to ports[0]))
+                val bindSocket = b.bind
+                val sockets = mutableListOf<ListeningSocket>()
+                b.bind = { bindSocket().also { sockets += it } }
+                b.start()
+                delay(100.milliseconds)
+                sockets.single().close()
+                a.start()
+                awaitConnected(a, "b") shouldBe true
+                a.stop()
+                b.stop()
+            }
+        }
+
         describe("a peer that was disconnected") {
             it("is connected again only when that is asked for") {
                 val ports = listOf(freePort(), freePort())
