Go on checking for silent peers after an error

An instance would keep a connection to a frozen peer for ever, and each call on it would wait for its timeout.

Cause: the loop that checks all connections ends with the first error.

Change: it is a supervised periodic part.

Evidence: PeerNetworkSpec, "goes on checking them": fewer than three checks in 5 s on the code before; passes after.

--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -5,6 +5,7 @@
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.Service
 import anvilslip.kernel.isFatal
+import anvilslip.kernel.launchPeriodically
 import anvilslip.kernel.launchSupervised
 import arrow.core.Either
 import arrow.core.left
@@ -74,7 +75,7 @@
         server = bind()
         scope.launchSupervised("peer-accept") { acceptConnections(it) }
         for ((peer, link) in links) open(peer, link)
-        scope.launch { checkConnections() }
+        scope.launchPeriodically("peer-liveness", options.silenceTimeout / LIVENESS_CHECKS_PER_TIMEOUT) { checkConnections() }
     }
 
     /** Opens a connection to [peer] at [address] and keeps it open. Does nothing if [peer] has one already. */
@@ -132,12 +133,7 @@
         linkJobs[peer] = scope.launchSupervised("peer-link") { link.run() }
     }
 
-    private suspend fun checkConnections() {
-        while (true) {
-            delay(options.silenceTimeout / LIVENESS_CHECKS_PER_TIMEOUT)
-            links.values.forEach { it.checkLiveness() }
-        }
-    }
+    private fun checkConnections() = links.values.forEach { it.checkLiveness() }
 
     private fun createLink(
         peer: String,
--- a/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
@@ -1,15 +1,20 @@
 package anvilslip.wire
 
+import anvilslip.kernel.Clock
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.SystemClock
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import io.ktor.network.sockets.ServerSocket as ListeningSocket
@@ -24,12 +29,13 @@
             port: Int,
             peers: Map<String, Int>,
             secret: String = "the shared secret",
+            clock: Clock = SystemClock,
         ) = PeerNetwork(
             self = self,
             listen = PeerAddress("127.0.0.1", port),
             peers = peers.mapValues { PeerAddress("127.0.0.1", it.value) },
             secret = secret.toByteArray(),
-            clock = SystemClock,
+            clock = clock,
             hybridClock = HybridClock(SystemClock),
         )
 
@@ -104,6 +110,39 @@
             }
         }
 
+        describe("an instance whose check of its connections fails once") {
+            /** Clock that fails the first time that the check of the connections reads it. */
+            class FailingClock : Clock by SystemClock {
+                val checks = AtomicInteger()
+
+                override fun elapsed(): Duration {
+                    val isCheck = Throwable().stackTrace.any { it.methodName == "checkLiveness" }
+                    if (isCheck && checks.incrementAndGet() == 1) throw AssertionError("unexpected")
+                    return SystemClock.elapsed()
+                }
+            }
+
+            // Guards against connections to peers that do not answer any more and that are never replaced.
+            it("goes on checking them") {
+                val ports = listOf(freePort(), freePort())
+                val clock = FailingClock()
+                val a = network("a", ports[0], mapOf("b" to ports[1]), clock = clock)
+                val b = network("b", ports[1], mapOf("a" to ports[0]))
+                b.handler = PeerHandler { _, _ -> awaitCancellation() }
+                b.start()
+                a.start()
+                awaitConnected(a, "b") shouldBe true
+                withTimeoutOrNull(5.seconds) {
+                    while (clock.checks.get() < 3) {
+                        a.send("b", PeerMessage.StatusRequest)
+                        delay(10.milliseconds)
+                    }
+                } shouldNotBe null
+                a.stop()
+                b.stop()
+            }
+        }
+
         describe("a peer that was disconnected") {
             it("is connected again only when that is asked for") {
                 val ports = listOf(freePort(), freePort())
