--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
@@ -84,4 +84,20 @@
                 time shouldBe 900
             }
         }
+
+        describe("the first answer to an instance that has restarted") {
+            // Guards against requests to a server that has left, which an instance forgets when it restarts.
+            it("contains the servers that signed off or drain, so that late reports cannot bring them back") {
+                val control = Control()
+                control.clusterView.recordReport(report(1), direct = true)
+                control.clusterView.deregister("s1", startedAtMillis = 1)
+                control.clusterView.recordReport(report(2).copy(phase = ServerPhase.DRAINING), direct = false)
+                val reply = control.ask(PeerMessage.Watch(entry, incarnation = ""))
+                val restarted = Control().clusterView
+                reply.servers.forEach { restarted.recordReport(it, direct = false) }
+                restarted.recordReport(report(1).copy(sequence = 9), direct = true)
+                restarted.recordReport(report(2).copy(sequence = 9), direct = true)
+                restarted.servers().map { it.id to it.phase } shouldBe listOf("s2" to ServerPhase.DRAINING)
+            }
+        }
     })
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
@@ -5,6 +5,7 @@
 import anvilslip.kernel.SystemClock
 import anvilslip.policy.EntryInstance
 import anvilslip.policy.ServingConfiguration
+import anvilslip.policy.SuspectReport
 import anvilslip.state.ConfigurationDocument
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerHandler
@@ -69,7 +70,8 @@
                 if (message !is PeerMessage.Watch) return PeerMessage.Ack
                 delay(minOf(message.waitMillis, 50).milliseconds)
                 val document = ConfigurationDocument(1, "text").takeIf { it.version > message.documentVersion }
-                return PeerMessage.WatchReply("x", 0, document = document, controlHosts = setOf(controlHost))
+                val quarantine = SuspectReport("quarantined", setOf("a@1", "b@1", "c@1"))
+                return PeerMessage.WatchReply("x", 0, document = document, controlHosts = setOf(controlHost), suspects = listOf(quarantine))
             }
 
             suspend fun run(action: suspend Watched.() -> Unit) {
@@ -109,6 +111,23 @@
             }
         }
 
+        describe("an instance that has just started") {
+            // Guards against requests that crash servers being sent by an instance that is ready but was not told of them yet.
+            it("knows the quarantines before the configuration, with which it becomes ready") {
+                var knownBefore: String? = null
+                lateinit var watched: Watched
+                watched =
+                    Watched(
+                        dialect = {
+                            knownBefore = watched.clusterView.suspects.quarantinedKey(listOf("quarantined"))
+                            ServingConfiguration(1).right()
+                        },
+                    )
+                watched.run { becomesTrue { clusterView.active.document != null } shouldBe true }
+                knownBefore shouldBe "quarantined"
+            }
+        }
+
         describe("the report of suspects") {
             it("goes on after an error") {
                 Watched(clock = FailingClock("reportSuspects")).run {
--- a/state/src/test/kotlin/anvilslip/state/ReplicaSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/ReplicaSpec.kt
@@ -102,6 +102,29 @@
             }
         }
 
+        describe("a replica that starts again after all processes have ended") {
+            // Guards against withdrawn keys, raised limits and quarantined requests that come back with the memory of the processes gone.
+            it("knows what was committed before: the newest document, versions and quarantines") {
+                val folder = tempdir().toPath()
+                val adapter = AdapterName("m", "a")
+                withReplica(FileStorage(folder)) { replica ->
+                    propose(replica) shouldBe true
+                    for (version in 1L..2L) {
+                        replica.propose(Command.ReplaceDocument(ConfigurationDocument(version, "text $version"))).isRight() shouldBe true
+                    }
+                    replica.propose(Command.NameVersion("m", "a", 7)).isRight() shouldBe true
+                    replica.propose(Command.UpdateQuarantines(mapOf("r" to setOf("s@1")), emptySet())).isRight() shouldBe true
+                }
+                withReplica(FileStorage(folder)) { replica ->
+                    propose(replica) shouldBe true
+                    val state = replica.view.state
+                    state.document shouldBe ConfigurationDocument(2, "text 2")
+                    state.namedVersions[adapter] shouldBe 7L
+                    state.quarantines["r"] shouldBe setOf("s@1")
+                }
+            }
+        }
+
         describe("a replica that applies large documents") {
             // Guards against a log that grows by the size of every change until neither the memory nor the disk holds it.
             it("keeps its log within the limits in bytes") {
