Bound the bodies of requests in sum and hold each once

Callers that send large bodies at the same time, each within its limit, no longer exhaust the heap of an instance. A request whose body would pass 24 MiB over all connections is refused with 503, Retry-After and the statement that it was not run: at once if its length is known, otherwise when its body passes the sum. Bodies above 64 KiB share 18 MiB of it, so small requests are still served. The rest of a refused body is read and dropped, up to the time limit for a request, so that the caller finds the answer rather than a reset connection.

Cause: only the size of one body was bounded, and HttpConnection kept what it received until the next request of the connection beside the array that the handler got. A body whose length is known is now received into that array; one of unknown length grows by doubling, and counts as what it has reserved.

Ruled out: a reservation as bytes arrive, with which many bodies get stuck halfway and all of them fail; a separate budget for each server, whose sum would be larger than the heap.

Chosen, not tuned: 24 MiB, 64 KiB, a quarter, 1 s. The delay is an estimate.

--- a/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
@@ -12,6 +12,7 @@
 import anvilslip.entry.completion.CompletionService
 import anvilslip.entry.completion.JsonBackendDialect
 import anvilslip.entry.completion.WaitTracker
+import anvilslip.entry.http.BodyBudget
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
 import anvilslip.entry.http.HttpServerOptions
@@ -73,13 +74,24 @@
             ControlService(self, incarnation, leaderClient, clock, timeline, settings.pollInterval, settings.maxStaleness, placement),
         )
     private val waitTracker = kernel.install(WaitTracker(clock, timeline, metrics))
-    private val callerServer = kernel.install(HttpServer("callers", settings.callers, createCallerHandler(), httpOptions(), threads = 2))
+    private val bodies = BodyBudget()
+    private val callerServer =
+        kernel.install(
+            HttpServer("callers", settings.callers, createCallerHandler(), httpOptions(), threads = 2, bodies = bodies),
+        )
 
     init {
         network.handler = PeerRouter(replica, leaderService, timeline)
-        kernel.install(HttpServer("operators", settings.operators, createOperatorHandler(), httpOptions(), threads = 1))
+        kernel.install(HttpServer("operators", settings.operators, createOperatorHandler(), httpOptions(), threads = 1, bodies = bodies))
         kernel.install(
-            HttpServer("announcements", settings.announcements, AnnouncementHandler(control, backendDialect), httpOptions(), threads = 1),
+            HttpServer(
+                "announcements",
+                settings.announcements,
+                AnnouncementHandler(control, backendDialect),
+                httpOptions(),
+                threads = 1,
+                bodies = bodies,
+            ),
         )
     }
 
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -2,7 +2,6 @@
 
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.isFatal
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
@@ -30,16 +29,18 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Server side of one connection: collects a request, passes it to [handler], and reads the next one after the response. */
 internal class HttpConnection(
     private val handler: HttpHandler,
     private val options: HttpServerOptions,
     private val scope: CoroutineScope,
+    private val bodies: BodyBudget = BodyBudget(),
     private val isDraining: () -> Boolean = { false },
 ) : ChannelInboundHandlerAdapter() {
     private var requestHead: HttpRequest? = null
-    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var body: RequestBody? = null
     private val pending = ArrayDeque<Any>()
     private var handlerJob: Job? = null
     private var requestInProgress = false
@@ -48,6 +49,9 @@
     /** True once no further response can be sent on this connection; all input that follows is discarded. */
     private var isEnding = false
 
+    /** True after a request was refused; the rest of its body is read and dropped, since closing before would discard the response. */
+    private var isRefused = false
+
     override fun channelActive(ctx: ChannelHandlerContext) {
         closeAfter(ctx, options.idleTimeout)
         ctx.fireChannelActive()
@@ -55,8 +59,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         closeTimer?.cancel(false)
-        body.release()
-        body = Unpooled.EMPTY_BUFFER
+        dropBody()
         discardInput()
         handlerJob?.cancel(CancellationException("the caller left"))
         ctx.fireChannelInactive()
@@ -91,6 +94,10 @@
         message: Any,
     ) {
         try {
+            if (isRefused) {
+                if (message is LastHttpContent) ctx.close()
+                return
+            }
             if (message is HttpRequest) onRequestHead(ctx, message)
             if (message is HttpContent) onContent(ctx, message)
         } finally {
@@ -130,32 +137,45 @@
             }
 
             else -> {
-                requestHead = request
-                body.release()
-                body = Unpooled.buffer()
-                if (HttpUtil.is100ContinueExpected(request)) ctx.writeAndFlush(CONTINUE.retainedDuplicate())
+                startBody(ctx, request)
             }
         }
     }
 
+    private fun startBody(
+        ctx: ChannelHandlerContext,
+        request: HttpRequest,
+    ) {
+        val next = RequestBody(bodies, options.maxBodyBytes)
+        val isExpected = HttpUtil.is100ContinueExpected(request)
+        if (!next.reserve(HttpUtil.getContentLength(request, 0L).toInt())) return refuse(ctx, request, isBodyComing = !isExpected)
+        requestHead = request
+        body = next
+        if (isExpected) ctx.writeAndFlush(CONTINUE.retainedDuplicate())
+    }
+
     private fun onContent(
         ctx: ChannelHandlerContext,
         content: HttpContent,
     ) {
         val request = requestHead ?: return
+        val body = body ?: return
         val cause = content.decoderResult().cause()
         when {
             cause != null -> {
                 reject(ctx, request, malformedError(cause))
             }
 
-            body.readableBytes() + content.content().readableBytes() > options.maxBodyBytes -> {
+            !body.canHold(content.content()) -> {
                 reject(ctx, request, bodyTooLargeError())
             }
 
-            else -> {
-                body.writeBytes(content.content())
-                if (content is LastHttpContent) handle(ctx, request)
+            !body.append(content.content()) -> {
+                refuse(ctx, request, isBodyComing = content !is LastHttpContent)
+            }
+
+            content is LastHttpContent -> {
+                handle(ctx, request, body)
             }
         }
     }
@@ -163,21 +183,29 @@
     private fun handle(
         ctx: ChannelHandlerContext,
         request: HttpRequest,
+        received: RequestBody,
     ) {
         requestHead = null
         closeTimer?.cancel(false)
-        val bytes = ByteArray(body.readableBytes()).also(body::readBytes)
         val uri = QueryStringDecoder(request.uri())
         val call =
             try {
-                HttpServerRequest(request.method().name(), uri.path(), uri.parameters(), headersOf(request), bytes, request.uri())
+                HttpServerRequest(
+                    request.method().name(),
+                    uri.path(),
+                    uri.parameters(),
+                    headersOf(request),
+                    received.complete(),
+                    request.uri(),
+                )
             } catch (e: IllegalArgumentException) {
                 reject(ctx, request, malformedError(e))
                 return
             }
         requestInProgress = true
+        body = null
         val responder = NettyResponder(ctx, isHead(request), { HttpUtil.isKeepAlive(request) && !isDraining() }, options.writeTimeout)
-        handlerJob = scope.launch { handle(ctx, call, responder) }
+        handlerJob = scope.launch { handle(ctx, call, responder) }.apply { invokeOnCompletion { received.release() } }
     }
 
     private suspend fun handle(
@@ -222,12 +250,32 @@
         closeTimer = ctx.executor().schedule({ ctx.close() }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Refuses the request that is arriving because of the other bodies; if [isBodyComing], reads the rest of its body first. */
+    private fun refuse(
+        ctx: ChannelHandlerContext,
+        request: HttpRequest,
+        isBodyComing: Boolean,
+    ) {
+        log.info("body_refused", "held_bytes" to bodies.reservedBytes)
+        val error = ApiError(ErrorCode.OVERLOADED, "the bodies of other requests take all memory", retryAfter = BODY_RETRY_AFTER)
+        if (!isBodyComing) return reject(ctx, request, error)
+        dropBody()
+        isRefused = true
+        ctx.writeAndFlush(toNettyResponse(error.toResponse(null), keepAlive = false, withBody = !isHead(request)))
+    }
+
+    private fun dropBody() {
+        requestHead = null
+        body?.release()
+        body = null
+    }
+
     private fun reject(
         ctx: ChannelHandlerContext,
         request: HttpRequest,
         error: ApiError,
     ) {
-        requestHead = null
+        dropBody()
         discardInput()
         val response = error.toResponse(null)
         val nettyResponse = toNettyResponse(response, keepAlive = false, withBody = !isHead(request))
@@ -245,6 +293,9 @@
 
     private companion object {
         val log = EventLogger("http")
+
+        /** Covers most of the requests that hold large bodies; whole seconds, since the header has no fractions. */
+        val BODY_RETRY_AFTER = 1.seconds
         val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
         val CONTINUE = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
     }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -32,6 +32,8 @@
     threads: Int = 2,
     /** Options for new connections, read when each connection is accepted. */
     private val currentOptions: () -> HttpServerOptions = { options },
+    /** Bounds the bodies of all requests; shared by the servers of an instance. */
+    private val bodies: BodyBudget = BodyBudget(),
 ) : Service {
     private val log = EventLogger("http")
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
@@ -111,7 +113,7 @@
                 .setMaxInitialLineLength(options.maxLineBytes)
                 .setMaxHeaderSize(options.maxHeaderBytes)
         channel.pipeline().addLast(StrictRequestDecoder(config), HttpResponseEncoder())
-        channel.pipeline().addLast(HttpConnection(handler, options, scope) { isDraining })
+        channel.pipeline().addLast(HttpConnection(handler, options, scope, bodies) { isDraining })
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.entry.http.BodyBudget
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
 import anvilslip.entry.http.HttpServerOptions
@@ -49,6 +50,7 @@
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
     private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
+    private val bodies = BodyBudget()
     private var frontend: HttpServer? = null
     private var forwarder: Forwarder? = null
 
@@ -59,7 +61,7 @@
         network.handler = if (settings.isControl) installControl() else PeerHandler { _, message -> answer(message) }
         if (settings.clients != null) installEntry(settings.clients!!)
         val address = Address(settings.host, settings.metricsPort)
-        kernel.install(HttpServer("metrics-http", address, MetricsHandler(metrics), threads = 1))
+        kernel.install(HttpServer("metrics-http", address, MetricsHandler(metrics), threads = 1, bodies = bodies))
     }
 
     private val isReady: Boolean get() = clusterView.active.configuration != null && !isStopping
@@ -135,9 +137,11 @@
             )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
-        kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1))
+        kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
         settings.directory?.let {
-            kernel.install(HttpServer("directory", it, dialects.directory(operations, settings.resolveLifetime), threads = 1))
+            kernel.install(
+                HttpServer("directory", it, dialects.directory(operations, settings.resolveLifetime), threads = 1, bodies = bodies),
+            )
         }
         return ControlRouter(replica, watchResponder, dispatch, operations)
     }
@@ -206,8 +210,13 @@
                 retryBudget = ::retryBudget,
             )
         forwarder = clientHandler
-        frontend = kernel.install(HttpServer("clients", address, clientHandler, threads = 1, currentOptions = ::clientOptions))
-        settings.readiness?.let { kernel.install(HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1)) }
+        frontend =
+            kernel.install(HttpServer("clients", address, clientHandler, threads = 1, currentOptions = ::clientOptions, bodies = bodies))
+        settings.readiness?.let {
+            kernel.install(
+                HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1, bodies = bodies),
+            )
+        }
     }
 
     private fun retryBudget() = RetryBudget(settings.retryWindow, settings.retryShare * BUDGET_SAFETY, ::retryReserve)
