Write large answers in parts, so that slow callers take little direct memory

Callers that do not read their answers no longer exhaust the 32 MB of direct memory of an instance; the same holds for operators that read the configuration back. What callers receive is unchanged, and a whole answer must still be taken within the write timeout.

Cause: Netty copies each message that it writes to direct memory until it is sent, and a whole answer was one message of up to 16 MiB. Answers above 64 KiB are now written in parts of 64 KiB, each after the one before has left room.

Ruled out: direct buffers as the place of the body, which would hold as much; a switch to heap buffers in Netty, since the JDK then keeps a direct buffer of the same size in each thread.

The number of such callers is still not bounded, nor is the heap that holds the answers.

--- a/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -38,9 +38,26 @@
         check(!streaming && !isDone) { "a response was already sent" }
         val isKeptAlive = keepAlive()
         val message = toNettyResponse(response, isKeptAlive, withBody = !isHead)
-        isDone = true
         keepsConnection = isKeptAlive
-        write(message, last = true)
+        if (isHead || response.body.size <= PART_BYTES) {
+            isDone = true
+            return write(message, last = true)
+        }
+        streaming = true
+        withTimeoutOrNull(writeTimeout) { writeInParts(message, response.body) } ?: closeSlow()
+    }
+
+    /** Writes [head] and [body] in parts, since each message that is written is copied to direct memory until the caller has taken it. */
+    private suspend fun writeInParts(
+        head: DefaultFullHttpResponse,
+        body: ByteArray,
+    ) {
+        write(DefaultHttpResponse(head.protocolVersion(), head.status(), head.headers()))
+        for (start in body.indices step PART_BYTES) {
+            write(DefaultHttpContent(Unpooled.wrappedBuffer(body, start, minOf(PART_BYTES, body.size - start))))
+        }
+        isDone = true
+        write(LastHttpContent.EMPTY_LAST_CONTENT, last = true)
     }
 
     override suspend fun startStream(
@@ -103,9 +120,16 @@
         // After a response that could not be written, the next one would be taken for it.
         future.addListener(if (last && !keepsConnection) ChannelFutureListener.CLOSE else ChannelFutureListener.CLOSE_ON_FAILURE)
         if (ctx.channel().isWritable) return
-        withTimeoutOrNull(writeTimeout) { future.awaitChannel() } ?: run {
-            ctx.close()
-            throw IOException("the caller reads too slowly")
-        }
+        withTimeoutOrNull(writeTimeout) { future.awaitChannel() } ?: closeSlow()
+    }
+
+    private fun closeSlow(): Nothing {
+        ctx.close()
+        throw IOException("the caller reads too slowly")
+    }
+
+    private companion object {
+        /** As much as Netty buffers before a channel stops being writable. */
+        const val PART_BYTES = 64 * 1024
     }
 }
