Do not join the start of a second answer to the next answer on its connection

What callers could see: a success where their server answered with a failure, with its ID, stamp and body, or the other way round. A second answer that is cut in its head stays in the codec; the status line of the next answer then becomes part of one of its lines, and the first status counts.

Each exchange now begins with a codec that holds nothing, and the connection is closed if the one before held the start of an answer. An answer with a status line within its reason or a header is malformed.

LateSecondAnswerSpec, 'cut in its head', guards it.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -1,14 +1,19 @@
 package anvilslip.entry.http
 
 import anvilslip.kernel.Clock
+import anvilslip.kernel.EventLogger
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.RejectedExecutionException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -34,6 +39,12 @@
     private var phase = Phase.AWAITING_HEAD
     private var head: HttpResponse? = null
     private var isWritten = false
+
+    /** True if the answer that is being received named the request. */
+    private var isNamed = false
+
+    /** False for a request after whose answer the codec may read the next one in another way. */
+    private var isShareable = true
     private var exchanges = 0
     private var endedAt: Duration? = null
 
@@ -67,7 +78,7 @@
     ): HttpClientResponse {
         lateinit var next: HttpClientResponse
         val window = ReceiveWindow { reading -> if (response === next) setReading(reading) }
-        next = HttpClientResponse(readTimeout, window) { onEventLoop { if (response === next) context.close() } }
+        next = HttpClientResponse(readTimeout, window) { abandon(next) }
         onEventLoop { begin(request, correlation, next) }
         return next
     }
@@ -78,12 +89,22 @@
 
     private fun onEventLoop(action: () -> Unit) = context.channel().eventLoop().execute(action)
 
+    /** Closes the connection if [abandoned] is still being received. After the event loop has ended there is none. */
+    private fun abandon(abandoned: HttpClientResponse) {
+        try {
+            onEventLoop { if (response === abandoned) context.close() }
+        } catch (e: RejectedExecutionException) {
+            log.debug("connection_ended", "error" to e.message)
+        }
+    }
+
     private fun begin(
         request: FullHttpRequest,
         correlation: Correlation?,
         next: HttpClientResponse,
     ) {
         val isCarried = correlation != null && !carriedIds.add(correlation.id.hashCode())
+        if (response == null) discardPartialInput()
         if (response != null || isCarried || !isActive) {
             ReferenceCountUtil.release(request)
             next.onFailure(HttpClientException.NotSent("the connection can carry no further request"))
@@ -92,6 +113,8 @@
         }
         response = next
         this.correlation = correlation
+        isShareable = request.method() !in UNSHARED
+        isNamed = false
         phase = Phase.AWAITING_HEAD
         isWritten = false
         exchanges++
@@ -100,6 +123,18 @@
         }
     }
 
+    /**
+     * Puts a new codec in place of the one that may hold the start of another answer, which would be joined to the next one. What it
+     * holds is passed to [channelRead], which closes the connection.
+     */
+    private fun discardPartialInput() {
+        val pipeline = context.pipeline()
+        if (pipeline.get(HttpClientCodec::class.java) == null) return
+        // Not replace(), which would pass the partial input to the new codec.
+        pipeline.remove(HttpClientCodec::class.java)
+        pipeline.addFirst(HttpClientCodec())
+    }
+
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
@@ -117,6 +152,7 @@
             }
             if (message is HttpResponse) receiveHead(current, message)
             if (message is HttpContent && response === current) receiveContent(current, message)
+            if (message !is HttpObject) fail(current, "bytes that are no answer")
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -135,13 +171,18 @@
         current: HttpClientResponse,
         message: HttpResponse,
     ) {
-        if (message.decoderResult().isFailure) return fail(current, "malformed answer")
+        if (message.decoderResult().isFailure || isJoined(message)) return fail(current, "malformed answer")
         if (isForeign(message)) return skip(current, message)
         phase = Phase.RECEIVING
         head = message
+        isNamed = correlation?.let { message.headers()[it.header] == it.id } ?: false
         current.onHead(message)
     }
 
+    /** True if the start of an answer was cut off and followed by another, whose status line became part of a line of the first. */
+    private fun isJoined(message: HttpResponse): Boolean =
+        STATUS_LINE.containsMatchIn(message.status().reasonPhrase()) || message.headers().any { STATUS_LINE.containsMatchIn(it.value) }
+
     /** True for an answer that may belong to an earlier exchange; there is none before the first, whose answer needs no ID. */
     private fun isForeign(message: HttpResponse): Boolean {
         val expected = correlation ?: return false
@@ -159,7 +200,8 @@
         message: HttpResponse,
     ) {
         isOutOfStep = true
-        val hasStatedEnd = HttpUtil.isContentLengthSet(message) || HttpUtil.isTransferEncodingChunked(message)
+        val isBodiless = message.status().code() in BODILESS
+        val hasStatedEnd = isBodiless || HttpUtil.isContentLengthSet(message) || HttpUtil.isTransferEncodingChunked(message)
         if (exchanges == 1 || !hasStatedEnd) return fail(current, "the answer belongs to another request")
         phase = Phase.SKIPPING
     }
@@ -190,13 +232,13 @@
         }
     }
 
-    /** Ends the exchange after the last part of its answer. A connection that carried a request without an ID is not used again. */
+    /** Ends the exchange after the last part of its answer. The connection is used again only if that answer named the request. */
     private fun end() {
         val lastHead = head
         response = null
         head = null
         endedAt = clock.elapsed()
-        val isReusable = isWritten && !isOutOfStep && correlation != null && exchanges < MAX_EXCHANGES
+        val isReusable = isWritten && !isOutOfStep && isNamed && isShareable && exchanges < MAX_EXCHANGES
         if (lastHead == null || !isReusable || !HttpUtil.isKeepAlive(lastHead)) {
             context.close()
             return
@@ -235,17 +277,23 @@
         ctx.close()
     }
 
-    private companion object {
-        val INFORMATIONAL = 100..199
+    companion object {
+        private val log = EventLogger("http-client")
+
+        /** Methods whose answers have no body, or end the use of the connection for HTTP, although their heads do not say so. */
+        val UNSHARED = setOf(HttpMethod.HEAD, HttpMethod.CONNECT)
+        private val BODILESS = setOf(204, 304)
+        private val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}(\\s|$)")
+        private val INFORMATIONAL = 100..199
 
         /** More than any server sends; without a limit they could come for ever. */
-        const val MAX_INFORMATIONAL = 16
+        private const val MAX_INFORMATIONAL = 16
 
         /** Bytes of other answers that are skipped before the connection is given up. */
-        const val MAX_SKIPPED_BYTES = 1024 * 1024
+        private const val MAX_SKIPPED_BYTES = 1024 * 1024
 
         /** Exchanges of one connection; bounds the IDs that are remembered. */
-        const val MAX_EXCHANGES = 256
-        val TIMEOUT = Regex("timeout=(\\d+)")
+        private const val MAX_EXCHANGES = 256
+        private val TIMEOUT = Regex("timeout=(\\d+)")
     }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -82,9 +82,9 @@
         return send(connect(address), address, request, readTimeout)
     }
 
-    /** An answer to an earlier exchange could be taken for the answer to a request that its answer does not name, or to HEAD. */
+    /** An answer to an earlier exchange could be taken for the answer to a request that its answer does not name. */
     private fun needsNewConnection(request: HttpClientRequest) =
-        request.freshConnection || request.correlation == null || request.method == HEAD
+        request.freshConnection || request.correlation == null || HttpMethod.valueOf(request.method) in ClientConnection.UNSHARED
 
     private suspend fun send(
         connection: ClientConnection,
@@ -199,8 +199,7 @@
 
         /** Fraction of the keep-alive timeout of the server after which a connection is dropped, so that it is not closed during reuse. */
         private const val KEEP_ALIVE_FRACTION = 0.6
-        private const val HEAD = "HEAD"
-        private val BODILESS = setOf("GET", HEAD, "DELETE")
+        private val BODILESS = setOf("GET", "HEAD", "DELETE")
         private const val SHUTDOWN_MILLIS = 500L
         private const val DEFAULT_MAX_BYTES = 16 * 1024 * 1024
     }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -95,7 +95,7 @@
     ) {
         try {
             if (isRefused) {
-                if (message is LastHttpContent) ctx.close()
+                if (message is LastHttpContent) ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
                 return
             }
             if (message is HttpRequest) onRequestHead(ctx, message)
--- a/gateway/src/test/kotlin/anvilslip/gateway/LateSecondAnswerSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LateSecondAnswerSpec.kt
@@ -93,6 +93,51 @@
             }
         }
 
+        // Guards against a status line that becomes part of a line of another answer, so that a failure looks like a success.
+        describe("a second answer that is cut in its head") {
+            val failure = { head: String -> "HTTP/1.1 500 Failed\r\nid: ${idOf(head)}\r\nContent-Length: 0\r\n\r\n" }
+
+            suspend fun statusOfSecond(
+                cut: String,
+                isLate: Boolean,
+            ): Int? {
+                var requests = 0
+                val server =
+                    ScriptedServer { head, _ ->
+                        when {
+                            ++requests == 1 -> answer("one", idOf(head)) + (if (isLate) "" else cut)
+                            isLate -> cut + failure(head)
+                            else -> failure(head)
+                        }
+                    }
+                val client = HttpClient(threads = 1)
+
+                suspend fun get(id: String): Int? =
+                    try {
+                        val request = HttpClientRequest("GET", "/", mapOf("id" to id), correlation = Correlation("id", id))
+                        client.exchange(server.address, request, 2.seconds).status
+                    } catch (_: HttpClientException.IncompleteResponse) {
+                        null
+                    }
+                get("1") shouldBe 200
+                return get("2").also {
+                    client.stop()
+                    server.close()
+                }
+            }
+
+            for (cut in listOf("HTTP/1.1 200 O", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nDate: x", "HTTP/1.1 200 OK\r\n")) {
+                val text = cut.replace("\r\n", " / ")
+                it("does not change the status of the answer behind it if it came at once: '$text'") {
+                    statusOfSecond(cut, isLate = false) shouldBe 500
+                }
+
+                it("fails the exchange if it came late: '$text'") {
+                    statusOfSecond(cut, isLate = true) shouldBe null
+                }
+            }
+        }
+
         describe("the first answer on a connection") {
             it("ends the exchange at once if it does not name the request") {
                 ScriptedServer { _, _ -> answer("/other", "0") }.run { get ->
