--- a/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
@@ -14,17 +14,23 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.nio.channels.SocketChannel
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class CrashDetectorSpec :
     DescribeSpec({
-        val client = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
-        afterSpec { client.stop() }
+        val client = HttpClient(connectTimeout = 5.seconds, threads = 1)
+        val impatientClient = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
+        afterSpec {
+            client.stop()
+            impatientClient.stop()
+        }
 
         fun unusedAddress() = ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")).use { "127.0.0.1:${it.localPort}" }
 
@@ -32,27 +38,29 @@
             address: String,
             phase: ServerPhase = ServerPhase.READY,
             checks: Int = 1,
+            checkedBy: HttpClient = client,
+            wait: Duration = 500.milliseconds,
         ): List<String> {
             val clusterView = ClusterView({ ServingConfiguration(1).right() }, SystemClock, emptySet(), 1.seconds)
             clusterView.recordReport(ServerReport("s", "app", address, "z", phase, startedAtMillis = 7), direct = true)
-            val detector = CrashDetector(client, clusterView)
+            val detector = CrashDetector(checkedBy, clusterView)
             val found = CopyOnWriteArrayList<String>()
             coroutineScope {
                 List(checks) { async { detector.checkAfterBreak(DispatchDecision.Send("s", address)) { found += it } } }.awaitAll()
             }
             // The check goes on if it takes longer than a caller may wait.
-            repeat(50) { if (found.size < checks) delay(10) }
+            withTimeoutOrNull(wait) { while (found.size < checks) delay(10) }
             detector.stop()
             return found
         }
 
         describe("an exchange that broke") {
             it("is a crash if the server refuses connections afterwards") {
-                crashesFound(unusedAddress()) shouldContainExactly listOf("s@7")
+                crashesFound(unusedAddress(), wait = 6.seconds) shouldContainExactly listOf("s@7")
             }
 
             it("is a crash for each of the exchanges that broke with it") {
-                crashesFound(unusedAddress(), checks = 3) shouldContainExactly listOf("s@7", "s@7", "s@7")
+                crashesFound(unusedAddress(), checks = 3, wait = 6.seconds) shouldContainExactly listOf("s@7", "s@7", "s@7")
             }
 
             it("is no crash if the server still accepts connections") {
@@ -71,7 +79,7 @@
                         it.configureBlocking(false)
                         it.connect(full.localSocketAddress)
                     }
-                    crashesFound("127.0.0.1:${full.localPort}").shouldBeEmpty()
+                    crashesFound("127.0.0.1:${full.localPort}", checkedBy = impatientClient).shouldBeEmpty()
                     fillers.forEach { it.close() }
                 }
             }
