--- a/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -17,6 +17,10 @@
     public val model: String? = null,
     public val adapter: String? = null,
     public val promptTokens: Int = 0,
+    /** Maximum number of output tokens; 0 when the client sent none. */
+    public val maxOutputTokens: Int = 0,
+    /** The client's estimate of the number of output tokens; null when it sent none. */
+    public val lengthHint: Int? = null,
     /** Sum of prompt and output tokens; null when the client sent no token counts. */
     public val totalTokens: Long? = null,
     /** IDs of the parts of the prompt that other requests may share, in order; the part of this request alone is left out. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -17,6 +17,9 @@
     val startedAt: Duration,
     val deadline: Duration,
 ) {
+    /** 0 is the most urgent. */
+    val priority: Int get() = workspace?.priority ?: route.priority
+
     /** Equal for all repeats of this request, on every instance. */
     val fingerprint: String by lazy { fingerprintOf(request, workspace) }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -248,6 +248,9 @@
             promptTokens = request.promptTokens,
             exclude = exchange.excludedServers + availability.unavailable,
             isSuspect = suspects.isSuspect(exchange.suspectKeys),
+            priority = exchange.priority,
+            maxOutputTokens = request.maxOutputTokens,
+            lengthHint = request.lengthHint,
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -56,7 +56,7 @@
                 server = attempt.decision.server,
                 workspace = exchange.workspace?.name,
                 remaining = (exchange.deadline - clock.elapsed()).coerceAtLeast(MIN_REMAINING),
-                priority = exchange.workspace?.priority ?: exchange.route.priority,
+                priority = exchange.priority,
                 version = attempt.decision.version,
                 lastEventId = exchange.events.lastId?.toString() ?: request.lastEventId,
             )
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
@@ -32,4 +32,10 @@
     @CborLabel(12) val exclude: Set<String> = emptySet(),
     /** True if a server has crashed while it ran the request, which may or may not have been the cause. */
     @CborLabel(13) val isSuspect: Boolean = false,
+    /** Priority of the workspace or route; 0 is the most urgent. */
+    @CborLabel(14) val priority: Int = 0,
+    /** Maximum number of output tokens; 0 if the client stated none. */
+    @CborLabel(15) val maxOutputTokens: Int = 0,
+    /** The client's estimate of the number of output tokens, which is often far off; null if it gave none. */
+    @CborLabel(16) val lengthHint: Int? = null,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
@@ -26,11 +26,17 @@
     @CborLabel(9) val models: List<LoadedModel>? = null,
     /** Time in milliseconds until its running requests end; null if it is not known. */
     @CborLabel(10) val remainingMillis: Long? = null,
+    /** Time in milliseconds for which the server stays cold and tolerates only few requests; 0 if it is warm. */
+    @CborLabel(11) val coldMillis: Long = 0,
 ) {
-    /** True if the reports differ at most in their sequence numbers and in their adapters, which change frequently. */
+    /**
+     * True if the reports differ at most in their sequence numbers, in their adapters, which change frequently, and in how long a cold
+     * server stays cold.
+     */
     public fun hasSameState(other: ServerReport): Boolean = withoutAdapters() == other.withoutAdapters()
 
-    private fun withoutAdapters() = copy(sequence = 0, models = models?.map { it.copy(adapters = emptyMap()) })
+    private fun withoutAdapters() =
+        copy(sequence = 0, coldMillis = coldMillis.coerceAtMost(1), models = models?.map { it.copy(adapters = emptyMap()) })
 
     /** True if this report was made after [other] with the same ID. */
     public fun isNewerThan(other: ServerReport): Boolean =
