Make a connection available before the last part of its answer is delivered

The caller of an exchange could send its next request before its connection counted as idle, and so opened another one. Reproduced each time with a delay of 50 ms between the last part and the end of the exchange; passes with the new order. In the product the same race opens connections that servers count against their cap. Ruled out: the order of answers on one connection, since the second request came on a new one.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -226,8 +226,9 @@
 
             Phase.RECEIVING -> {
                 val bytes = ByteArray(message.content().readableBytes()).also(message.content()::readBytes)
-                current.onBody(bytes, isLast)
+                // Before the last part is delivered, so that the next request of the same caller finds this connection idle.
                 if (isLast) end()
+                current.onBody(bytes, isLast)
             }
         }
     }
