Rehearse decisions before traffic; direct clients to entry instances in proportion to their capacity

Two parts, both for deployments of small and uneven instances. A control instance that has no configuration when it starts now decides on 1,500 made-up requests for the servers that report, in virtual time and with a dispatcher of its own. Weights: all entry instances counted as equal, with 0.27 and 0.9 of a core. The directory lists an instance once for each multiple of the smallest capacity (setting capacity); with equal ones the answer is as before. EntryWeightsSpec: 2.7 to 3.7 times the clients for 3.3 times the capacity; weighed and left out: a part of the small instances for each client, since clients close connections to addresses that are missing from the next answer.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -4,6 +4,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Finding
 import anvilslip.policy.EntryInstance
+import anvilslip.policy.EntryWeights
 import anvilslip.policy.ServerReport
 import anvilslip.state.Command
 import anvilslip.state.ConfigurationDocument
@@ -99,14 +100,18 @@
     ): Unit = clusterView.deregister(server, startedAtMillis)
 
     /**
-     * Returns the ready entry instances for a client in [zone]: only those of the zone if there are at least [MIN_NEARBY], otherwise
-     * all. Returns null during the first [STARTUP_PERIOD], in which not all entry instances may have reported to this instance.
+     * Returns the ready entry instances for a client in [zone], by weight and at most [maxLength]: only those of the zone if there are at
+     * least [MIN_NEARBY], otherwise all. Returns null during the first [STARTUP_PERIOD], in which not all entry instances may have
+     * reported to this instance.
      */
-    public fun resolveEntries(zone: String?): List<EntryInstance>? {
+    public fun resolveEntries(
+        zone: String?,
+        maxLength: Int,
+    ): List<EntryInstance>? {
         if (clock.elapsed() - startedAt < STARTUP_PERIOD) return null
         val ready = watchResponder.readyEntries().sortedBy { it.host }
         val nearby = ready.filter { it.zone == zone }
-        return if (nearby.size >= MIN_NEARBY) nearby else ready
+        return EntryWeights.list(if (nearby.size >= MIN_NEARBY) nearby else ready, maxLength)
     }
 
     /** Host of the leader; null if this instance leads or no leader is known. */
--- /dev/null
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
@@ -0,0 +1,165 @@
+package anvilslip.gateway
+
+import anvilslip.kernel.EventLogger
+import anvilslip.kernel.Service
+import anvilslip.kernel.launchSupervised
+import anvilslip.policy.Admission
+import anvilslip.policy.DispatchDecision
+import anvilslip.policy.DispatchOptions
+import anvilslip.policy.DispatchRequest
+import anvilslip.policy.Dispatcher
+import anvilslip.policy.EngineInventory
+import anvilslip.policy.RequestEvent
+import anvilslip.policy.RequestStep
+import anvilslip.policy.ServerReport
+import anvilslip.policy.ServingConfiguration
+import anvilslip.wire.PeerMessage
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.yield
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Makes the runtime compile the code that decides on requests before the first request arrives, by deciding on made-up requests for the
+ * servers that have reported, with a [Dispatcher] of its own whose decisions nobody carries out. Otherwise the first hundreds of decisions
+ * are interpreted, and a leader on a fraction of a core loses its lease under the first second of traffic.
+ *
+ * Runs only in a new deployment: an instance that has a configuration when it starts may already be needed for traffic.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal class DispatchWarmUp(
+    private val clusterView: ClusterView,
+    private val options: DispatchOptions,
+) : Service {
+    override val name: String = "dispatch-warm-up"
+    private val log = EventLogger("warm-up")
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    override suspend fun start() {
+        if (clusterView.active.configuration != null) return
+        scope.launchSupervised("dispatch-warm-up") { run() }
+    }
+
+    override suspend fun stop() {
+        scope.coroutineContext[Job]?.cancelAndJoin()
+    }
+
+    /** Waits for a configuration and for servers, then decides on [REQUESTS] requests; returns the number of those that were sent. */
+    suspend fun run(): Int {
+        while (clusterView.active.configuration == null || clusterView.servers().isEmpty()) delay(POLL_INTERVAL)
+        delay(REPORT_PERIOD)
+        val configuration = clusterView.active.configuration ?: return 0
+        val sent = Rehearsal(configuration, clusterView.servers(), options).decideAll()
+        log.info("decisions_rehearsed", "requests" to REQUESTS, "sent" to sent)
+        return sent
+    }
+
+    /** The made-up requests, in virtual time. */
+    private class Rehearsal(
+        configuration: ServingConfiguration,
+        private val servers: List<ServerReport>,
+        options: DispatchOptions,
+    ) {
+        private val dispatcher = Dispatcher(options, Duration.ZERO, hasPredecessor = false)
+        private var now = Duration.ZERO
+
+        init {
+            // Without the limits of workspaces, whose names the made-up requests do not state.
+            dispatcher.configure(configuration.copy(workspaces = emptyList()), emptyMap(), now)
+            dispatcher.updateServers(servers, now)
+            for (engine in dispatcher.enginesToQuery(now)) {
+                dispatcher.recordInventory(engine.id, EngineInventory(0, engine.models.orEmpty()), now)
+            }
+        }
+
+        suspend fun decideAll(): Int {
+            var sent = 0
+            repeat(REQUESTS) { number ->
+                now += STEP
+                if (decide(request(number))) sent++
+                if (number >= IN_FLIGHT) finish(number - IN_FLIGHT)
+                if (number % REPORT_EVERY == 0) dispatcher.updateServers(servers, now)
+                // Leaves the processor to heartbeats and elections.
+                if (number % BATCH == 0) delay(BATCH_PAUSE) else yield()
+            }
+            return sent
+        }
+
+        private fun decide(request: DispatchRequest): Boolean {
+            val received = (transmit(PeerMessage.Admit(request)) as PeerMessage.Admit).demand
+            repeat(MAX_STEPS) {
+                when (val admission = dispatcher.admit(received, now)) {
+                    is Admission.Decided -> return reply(admission.decision) is DispatchDecision.Send
+                    is Admission.Load -> dispatcher.recordLoadStarted(admission.order, 1, now)
+                    is Admission.AwaitOrder -> return false
+                }
+            }
+            return false
+        }
+
+        private fun reply(decision: DispatchDecision) = (transmit(PeerMessage.AdmitReply(1, decision)) as PeerMessage.AdmitReply).decision
+
+        private fun transmit(message: PeerMessage): PeerMessage {
+            val bytes = cbor.encodeToByteArray(PeerMessage.serializer(), message)
+            return cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+        }
+
+        private fun finish(number: Int) {
+            val events = listOf(RequestStep.ANSWERING, RequestStep.ENDED).map { RequestEvent(number.toLong(), it) }
+            val received = transmit(PeerMessage.Progress(ENTRY, events)) as PeerMessage.Progress
+            dispatcher.applyEvents(received.entry, received.events, now)
+        }
+
+        private fun request(number: Int): DispatchRequest {
+            val server = servers[number % servers.size]
+            val model = server.models?.firstOrNull()?.name
+            return DispatchRequest(
+                entry = ENTRY,
+                number = number.toLong(),
+                service = server.service,
+                workspace = null,
+                charge = 0,
+                zone = server.zone,
+                targetMillis = 1_000,
+                remainingMillis = 5_000,
+                model = model,
+                adapter = model?.let { "a${number % ADAPTERS}" },
+                promptTokens = PROMPT_TOKENS,
+            )
+        }
+    }
+
+    private companion object {
+        /** Configured as for messages between instances, so that the same code is compiled. */
+        val cbor =
+            Cbor {
+                ignoreUnknownKeys = true
+                encodeDefaults = false
+                preferCborLabelsOverNames = true
+            }
+        const val ENTRY = "warm-up"
+
+        /** Enough for the runtime to compile the code; it does so after about 200 calls. */
+        const val REQUESTS = 1_500
+        const val IN_FLIGHT = 200
+        const val ADAPTERS = 300
+        const val PROMPT_TOKENS = 1_500
+        const val REPORT_EVERY = 50
+        const val MAX_STEPS = 3
+        const val BATCH = 25
+        val STEP = 3.milliseconds
+        val BATCH_PAUSE = 20.milliseconds
+        val POLL_INTERVAL = 250.milliseconds
+
+        /** Within this time after the first, most servers have reported. */
+        val REPORT_PERIOD = 2.seconds
+    }
+}
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -100,7 +100,15 @@
 
     private fun self(): EntryInstance? =
         settings.clients?.let {
-            EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady, clusterView.entryCount ?: 0)
+            EntryInstance(
+                host = settings.host,
+                clients = it.toString(),
+                zone = settings.zone,
+                region = settings.region,
+                ready = isReady,
+                knownEntries = clusterView.entryCount ?: 0,
+                capacity = settings.capacity,
+            )
         }
 
     private fun answer(message: PeerMessage): PeerMessage =
@@ -135,6 +143,7 @@
             kernel.install(
                 LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
             )
+        kernel.install(DispatchWarmUp(clusterView, DispatchOptions()))
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
--- a/policy/src/main/kotlin/anvilslip/policy/EntryInstance.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryInstance.kt
@@ -19,4 +19,6 @@
     @CborLabel(5) val ready: Boolean,
     /** Largest number of entry instances in use that a control instance has recently reported to this one; 0 if none has. */
     @CborLabel(6) val knownEntries: Int = 0,
+    /** Processing capacity relative to other instances, for example its share of processor cores. */
+    @CborLabel(7) val capacity: Double = 1.0,
 )
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -49,6 +49,8 @@
     val orderPause: Duration = 3000.milliseconds,
     /** True if backend servers reject orders with an outdated fencing token. */
     val fencingChecked: Boolean = false,
+    /** Processing capacity relative to the other entry instances; clients are distributed by it. */
+    val capacity: Double = 1.0,
 ) {
     /** True on a control instance, which holds a replica and directs the other instances. */
     public val isControl: Boolean get() = control != null
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -52,6 +52,7 @@
                 retryReserve = root.double("retryReserve", 0.0..MAX_RETRY_RESERVE, defaults.retryReserve),
                 orderPause = readDuration(root, "orderPause", defaults.orderPause),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
+                capacity = root.double("capacity", CAPACITIES, defaults.capacity),
             )
         root.reportUnknownKeys()
         findings.check(settings.seeds.isNotEmpty(), root.placeOf("seeds")) { "must name at least one control instance" }
@@ -81,5 +82,6 @@
         val PORTS = 1..65_535
         const val MAX_TOLERATED_LOSSES = 10
         const val MAX_RETRY_RESERVE = 1e6
+        val CAPACITIES = 0.001..1e6
     }
 }
