Send a configuration document compressed, from one control instance to each entry instance

Each change of the document was sent whole by every control instance to every entry instance, since all of them answer the long poll at once: 116 MB for a document of 341 KB with 5 control and 68 entry instances, about 1.7 MB on a link of 7 Mbit/s.

Watch now states how a newer document is to be answered: compressed by the preferred control instance (own zone first, else reachable for longest), announced by the others. If the preferred one has not delivered an announced version within 300 ms, all that announced it are asked. An instance without a document takes it from any control instance, so a start is as fast as before. A sender without the new fields still gets the whole document, and a reply with a whole document is still applied, so that versions can be mixed. The list of control instances is sent only when it has changed. What servers have reported again is already sent only by the control instance that heard it, so it was left alone.

anvilslip_peer_sent_bytes_total has labels for the kind of message and the receiver's zone.

A silent preferred control instance delays a change by no more than 300 ms and a round trip.

--- a/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
@@ -129,10 +129,11 @@
             secret = settings.secretFile.readBytes(),
             clock = clock,
             hybridClock = hybridClock,
-            onBytes = { sent, received ->
-                metrics.peerBytesSent.inc(sent.toDouble())
-                metrics.peerBytesReceived.inc(received.toDouble())
+            onSent = { peer, message, bytes ->
+                val zone = settings.instances.firstOrNull { it.name == peer }?.zone ?: UNKNOWN_ZONE
+                metrics.peerBytesSent.labelValues(message.javaClass.simpleName, zone).inc(bytes.toDouble())
             },
+            onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
 
     private fun createReplica(dataFolder: Path): Replica {
@@ -178,6 +179,9 @@
 
     private companion object {
         const val INCARNATION_SUFFIX_LENGTH = 8
+
+        /** Label value for the zone of an instance that is not in the settings. */
+        const val UNKNOWN_ZONE = "unknown"
         val DRAIN_MARGIN: Duration = 5.seconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -65,6 +65,9 @@
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
 
+    /** Availability zones of the other instances. */
+    public val zones: PeerZones = PeerZones()
+
     /** Number of entry instances among which the limits of workspaces are divided; null until a control instance has reported it. */
     public val entryCount: Int? get() = synchronized(entries) { entries.current(clock.elapsed()) }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -49,7 +49,7 @@
     private val requestMetrics = GatewayMetrics(metrics)
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
-    private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
+    private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, entry = ::self))
     private val bodies = BodyBudget()
     private var frontend: HttpServer? = null
     private var forwarder: Forwarder? = null
@@ -116,19 +116,26 @@
             hybridClock = HybridClock(clock),
             options = PeerOptions(silenceTimeout = PEER_SILENCE),
             acceptsPeer = { true },
-            onBytes = { sent, received ->
-                metrics.peerBytesSent.inc(sent.toDouble())
-                metrics.peerBytesReceived.inc(received.toDouble())
-            },
+            onSent = ::countSent,
+            onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
 
+    private fun countSent(
+        peer: String,
+        message: PeerMessage,
+        bytes: Int,
+    ) {
+        val zone = clusterView.zones[peer] ?: UNKNOWN_ZONE
+        metrics.peerBytesSent.labelValues(message.javaClass.simpleName, zone).inc(bytes.toDouble())
+    }
+
     private fun installControl(): PeerHandler {
         lateinit var quarantineStore: QuarantineStore
         val replica = kernel.install(replica { quarantineStore.restore(it) })
         quarantineStore =
             QuarantineStore(clusterView.suspects, { replica.isLeading }, { replica.view.state }, { replica.propose(it).isRight() })
         kernel.install(quarantineStore)
-        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock)
+        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock, settings.zone)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
         val dispatch =
@@ -237,6 +244,9 @@
 
     private companion object {
         const val INCARNATION_LENGTH = 8
+
+        /** Label value for the zone of an instance that has not reported one. */
+        const val UNKNOWN_ZONE = "unknown"
         const val MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
         /** Used by every instance that has no secret file, so that they can talk to each other. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -3,7 +3,10 @@
 import anvilslip.kernel.Clock
 import anvilslip.policy.EntryInstance
 import anvilslip.policy.EntryTracker
+import anvilslip.state.ConfigurationDocument
 import anvilslip.state.ReplicaView
+import anvilslip.wire.CompressedDocument
+import anvilslip.wire.DocumentDelivery
 import anvilslip.wire.PeerMessage
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
@@ -18,9 +21,18 @@
     private val clusterView: ClusterView,
     private val replicaView: () -> ReplicaView,
     private val clock: Clock,
+    /** Availability zone of this instance. */
+    private val zone: String? = null,
 ) {
+    private class ControlList(
+        val hosts: Set<String>,
+        val revision: Long,
+    )
+
     private val entries = EntryTracker(clock.elapsed())
     private val controlsSeenAt = ConcurrentHashMap<String, Duration>()
+    private var lastControls = ControlList(emptySet(), 0)
+    private var lastCompressed: Pair<ConfigurationDocument, CompressedDocument>? = null
 
     /** Returns the entry instances that have reported recently and are ready. */
     public fun readyEntries(): List<EntryInstance> = withEntries { ready(it) }
@@ -59,6 +71,7 @@
 
     private fun recordEntry(entry: EntryInstance) {
         withEntries { record(entry, it) }
+        clusterView.zones.record(entry.host, entry.zone)
     }
 
     private fun <T> withEntries(block: EntryTracker.(now: Duration) -> T): T = synchronized(entries) { entries.block(clock.elapsed()) }
@@ -69,12 +82,17 @@
      */
     private fun hasUpdate(watch: PeerMessage.Watch): Boolean {
         val active = clusterView.active
-        val version = active.document?.version
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
-            (version != null && version > watch.documentVersion) || clusterView.suspects.revision > watch.suspectRevision ||
+            hasDocumentFor(watch) || clusterView.suspects.revision > watch.suspectRevision ||
             clusterView.hasDirectFleetChangeSince(watch.fleetRevision) || knowsLaterLeader(watch.term)
     }
 
+    private fun hasDocumentFor(watch: PeerMessage.Watch): Boolean {
+        val version = clusterView.active.document?.version ?: return false
+        val isAnnounced = watch.documentDelivery == DocumentDelivery.ANNOUNCED && version <= watch.announcedVersion
+        return version > watch.documentVersion && !isAnnounced
+    }
+
     private fun knowsLaterLeader(term: Long): Boolean = replicaView().let { it.leader != null && it.term > term }
 
     private fun reply(watch: PeerMessage.Watch): PeerMessage.WatchReply {
@@ -83,24 +101,45 @@
         val update = clusterView.fleetUpdateSince(since, directOnly = !isNewIncarnation && watch.entry == null)
         val suspects = clusterView.suspects.changesSince(if (isNewIncarnation) 0 else watch.suspectRevision)
         val active = clusterView.active
+        val document = active.document?.takeIf { it.version > watch.documentVersion }
+        val controls = controls()
+        val knowsControls = !isNewIncarnation && watch.controlRevision == controls.revision
         val view = replicaView()
         return PeerMessage.WatchReply(
             incarnation = incarnation,
             fleetRevision = update.revision,
             servers = update.changed,
             refreshed = update.refreshed,
-            document = active.document?.takeIf { it.version > watch.documentVersion },
+            document = document?.takeIf { watch.documentDelivery == DocumentDelivery.PLAIN },
+            compressedDocument = document?.takeIf { watch.documentDelivery == DocumentDelivery.COMPRESSED }?.let(::compress),
+            documentVersion = document?.version?.takeIf { it > watch.announcedVersion } ?: -1,
             namedVersions = active.versions.takeIf { active.versionsRevision > watch.namedRevision },
             namedRevision = active.versionsRevision,
-            controlHosts = controlHosts(),
+            controlHosts = if (knowsControls) emptySet() else controls.hosts,
+            controlRevision = controls.revision,
             leader = view.leader?.instance,
             term = view.term,
             entryCount = withEntries { inUseCount(it) },
             suspects = suspects.reports,
             suspectRevision = suspects.revision,
+            zone = zone?.takeIf { isNewIncarnation },
         )
     }
 
+    /** Compresses [document] once for all instances that it is sent to. */
+    @Synchronized
+    private fun compress(document: ConfigurationDocument): CompressedDocument {
+        lastCompressed?.let { (known, compressed) -> if (known === document) return compressed }
+        return CompressedDocument.of(document).also { lastCompressed = document to it }
+    }
+
+    @Synchronized
+    private fun controls(): ControlList {
+        val hosts = controlHosts()
+        if (hosts != lastControls.hosts) lastControls = ControlList(hosts, lastControls.revision + 1)
+        return lastControls
+    }
+
     private fun controlHosts(): Set<String> {
         val now = clock.elapsed()
         val recent = controlsSeenAt.filterValues { now - it < CONTROL_RETENTION }.keys
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -6,27 +6,36 @@
 import anvilslip.kernel.launchPeriodically
 import anvilslip.kernel.launchSupervised
 import anvilslip.policy.EntryInstance
+import anvilslip.wire.CompressedDocument
+import anvilslip.wire.DocumentDelivery
 import anvilslip.wire.PeerAddress
+import anvilslip.wire.PeerLinks
 import anvilslip.wire.PeerMessage
-import anvilslip.wire.PeerNetwork
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Keeps [ClusterView] up to date with long polls to every control instance, each of which answers as soon as something changes. */
 public class WatchService(
-    private val network: PeerNetwork,
+    private val network: PeerLinks,
     private val clusterView: ClusterView,
     private val host: String,
     private val peerPort: Int,
     private val clock: Clock,
+    context: CoroutineContext = Dispatchers.Default,
     /** Returns the state of this entry instance to report; null on a control instance. */
     private val entry: () -> EntryInstance?,
 ) : Service {
@@ -37,21 +46,38 @@
         val suspectRevision: Long = 0,
         /** True if the control instance has been told of all suspects known here; later ones are reported at once. */
         val hasAllSuspects: Boolean = false,
+        /** Control instances that the control instance knows, and the revision of that list. */
+        val controlHosts: Set<String> = emptySet(),
+        val controlRevision: Long = 0,
+        /** Latest version of the document that the control instance has announced. */
+        val announcedVersion: Long = -1,
     ) {
-        fun after(reply: PeerMessage.WatchReply): Position {
-            val wasTold = !hasAllSuspects || reply.incarnation == incarnation
-            return Position(reply.incarnation, reply.fleetRevision, reply.suspectRevision, hasAllSuspects = wasTold)
-        }
+        fun after(reply: PeerMessage.WatchReply): Position =
+            Position(
+                incarnation = reply.incarnation,
+                fleetRevision = reply.fleetRevision,
+                suspectRevision = reply.suspectRevision,
+                hasAllSuspects = !hasAllSuspects || reply.incarnation == incarnation,
+                controlHosts = reply.controlHosts.ifEmpty { controlHosts },
+                controlRevision = reply.controlRevision,
+                announcedVersion = maxOf(announcedVersion, reply.documentVersion),
+            )
     }
 
     override val name: String = NAME
     private val log = EventLogger("watch")
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope = CoroutineScope(SupervisorJob() + context)
     private val watched = ConcurrentHashMap.newKeySet<String>()
+    private val positions = ConcurrentHashMap<String, Position>()
+    private val documentSource = DocumentSource(clusterView.zones) { entry()?.zone }
+    private val announcedVersion = MutableStateFlow(-1L)
+
+    private val documentVersion: Long get() = clusterView.active.document?.version ?: -1
 
     override suspend fun start() {
         scope.launchPeriodically("control-membership", MEMBERSHIP_POLL) { watchNewControls() }
         scope.launchSupervised("suspect-reports") { reportSuspects(it) }
+        scope.launchSupervised("late-documents") { fetchLateDocuments(it) }
     }
 
     override suspend fun stop() {
@@ -60,10 +86,11 @@
 
     /** Sends the state of this instance to all control instances without waiting for the next poll. */
     public suspend fun announce() {
-        val own = entry() ?: return
+        if (entry() == null) return
         clusterView.controlHosts
             .map { control ->
-                scope.launch { network.call(control, PeerMessage.Watch(own), ANNOUNCE_TIMEOUT) }
+                val request = watchRequest(positionAt(control), Duration.ZERO, DocumentDelivery.ANNOUNCED)
+                scope.launch { network.call(control, request, ANNOUNCE_TIMEOUT) }
             }.forEach { it.join() }
     }
 
@@ -89,6 +116,8 @@
                 watch(control, recordProgress)
                 network.disconnect(control)
                 watched -= control
+                positions -= control
+                documentSource.recordPoll(control, isAnswered = false)
             }
         }
     }
@@ -98,25 +127,67 @@
         control: String,
         recordProgress: () -> Unit,
     ) {
-        var position = Position()
+        positions[control] = Position()
         var reachable = false
         while (control in clusterView.controlHosts) {
             val sentAt = clock.elapsed()
-            val request = watchRequest(position, if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO)
+            val request = watchRequest(positionAt(control), if (reachable) LONG_POLL_TIMEOUT else Duration.ZERO, deliveryFrom(control))
             val reply = network.call(control, request, ANSWER_TIMEOUT).getOrNull() as? PeerMessage.WatchReply
             if ((reply != null) != reachable) log.info(if (reply != null) "control_reached" else "control_lost", "control" to control)
             reachable = reply != null
+            documentSource.recordPoll(control, isAnswered = reachable)
             reply?.let { applyReply(control, it) }
-            position = reply?.let(position::after) ?: position.copy(hasAllSuspects = false)
+            positions[control] = positionAt(control).let { reply?.let(it::after) ?: it.copy(hasAllSuspects = false) }
+            reply?.documentVersion?.let { announced -> announcedVersion.update { maxOf(it, announced) } }
             recordProgress()
             val pause = if (reply == null) RETRY_DELAY else MIN_INTERVAL - (clock.elapsed() - sentAt)
             if (pause.isPositive()) delay(pause)
         }
     }
 
+    private fun positionAt(control: String): Position = positions[control] ?: Position()
+
+    /** An instance without a document takes it from whoever answers first, since it is not ready before. */
+    private fun deliveryFrom(control: String): DocumentDelivery =
+        if (documentVersion < 0 || control == documentSource.preferred) DocumentDelivery.COMPRESSED else DocumentDelivery.ANNOUNCED
+
+    /** Asks the control instances that announced a document for it if it has not arrived otherwise within [DOCUMENT_TIMEOUT]. */
+    private suspend fun fetchLateDocuments(recordProgress: () -> Unit) {
+        while (true) {
+            val version = announcedVersion.first { it > documentVersion }
+            withTimeoutOrNull(DOCUMENT_TIMEOUT) { awaitDocument(version) }
+            if (documentVersion < version) fetchDocument(version)
+            recordProgress()
+        }
+    }
+
+    private suspend fun fetchDocument(version: Long): Unit =
+        coroutineScope {
+            val sources = positions.filterValues { it.announcedVersion >= version }.keys
+            log.info("document_late", "version" to version, "preferred" to documentSource.preferred, "asked" to sources.joinToString(","))
+            val calls = sources.map { launch { fetchDocumentFrom(it) } }
+            withTimeoutOrNull(ANSWER_TIMEOUT) { awaitDocument(version) }
+            calls.forEach { it.cancel() }
+        }
+
+    private suspend fun fetchDocumentFrom(control: String) {
+        val request = watchRequest(positionAt(control), Duration.ZERO, DocumentDelivery.COMPRESSED)
+        val reply = network.call(control, request, ANSWER_TIMEOUT).getOrNull() as? PeerMessage.WatchReply ?: return
+        applyReply(control, reply)
+    }
+
+    private suspend fun awaitDocument(version: Long) {
+        while (true) {
+            val seen = clusterView.changeCount
+            if (documentVersion >= version) return
+            clusterView.awaitChange(seen)
+        }
+    }
+
     private fun watchRequest(
         position: Position,
         wait: Duration,
+        delivery: DocumentDelivery,
     ): PeerMessage.Watch {
         val active = clusterView.active
         return PeerMessage.Watch(
@@ -129,6 +200,9 @@
             suspects = if (position.hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports,
             suspectRevision = position.suspectRevision,
             term = clusterView.leader.term,
+            documentDelivery = delivery,
+            announcedVersion = position.announcedVersion,
+            controlRevision = position.controlRevision,
         )
     }
 
@@ -136,17 +210,28 @@
         control: String,
         reply: PeerMessage.WatchReply,
     ) {
+        reply.zone?.let { clusterView.zones.record(control, it) }
         // Before the document, with which an instance that has just started becomes ready.
         clusterView.suspects.merge(reply.suspects)
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
+        reply.compressedDocument?.let { applyDocument(control, it) }
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
-        clusterView.recordControlHosts(reply.controlHosts)
+        clusterView.recordControlHosts(reply.controlHosts.ifEmpty { positionAt(control).controlHosts })
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
     }
 
+    private fun applyDocument(
+        control: String,
+        compressed: CompressedDocument,
+    ) {
+        val document = compressed.document
+        if (document != null) return clusterView.applyDocument(document)
+        log.error("document_unreadable", "control" to control, "version" to compressed.version, "bytes" to compressed.sizeBytes)
+    }
+
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "watch"
@@ -155,6 +240,9 @@
         private val LONG_POLL_TIMEOUT = 900.milliseconds
         private val ANSWER_TIMEOUT = 1800.milliseconds
         private val ANNOUNCE_TIMEOUT = 500.milliseconds
+
+        /** Time within which the preferred control instance must deliver a document that another one has announced. */
+        private val DOCUMENT_TIMEOUT = 300.milliseconds
         private val RETRY_DELAY = 200.milliseconds
 
         /** Minimum interval between two polls, so that a burst of changes arrives in one answer. */
--- a/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
@@ -33,8 +33,8 @@
     /** Configuration revision that this instance has applied. */
     public val revision: Gauge = gauge("anvilslip_configuration_revision", "Configuration revision in force")
 
-    /** Bytes sent to other instances. */
-    public val peerBytesSent: Counter = counter("anvilslip_peer_sent_bytes_total", "Bytes sent to other instances")
+    /** Bytes sent to other instances, by kind of message and by availability zone of the receiver. */
+    public val peerBytesSent: Counter = counter("anvilslip_peer_sent_bytes_total", "Bytes sent to other instances", "kind", "zone")
 
     /** Bytes received from other instances. */
     public val peerBytesReceived: Counter = counter("anvilslip_peer_received_bytes_total", "Bytes received from other instances")
--- a/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
@@ -27,7 +27,8 @@
     private val connect: suspend () -> PeerConnection,
     private val ping: () -> Frame,
     private val onFrame: (Frame) -> Unit,
-    private val onBytes: (sent: Int, received: Int) -> Unit,
+    private val onSent: (message: PeerMessage, bytes: Int) -> Unit,
+    private val onReceived: (bytes: Int) -> Unit,
 ) {
     private class PendingCall(
         val sentAt: Duration,
@@ -103,7 +104,7 @@
                 val next = outgoing.tryReceive()
                 val bytes = FrameCodec.encode(frame)
                 connection.write(bytes, flush = next == null)
-                onBytes(bytes.size, 0)
+                onSent(frame.message, bytes.size)
                 lastSentAt = clock.elapsed()
                 frame = next
             }
@@ -113,7 +114,7 @@
     private suspend fun CoroutineScope.readAll(connection: PeerConnection) {
         while (isActive) {
             val bytes = connection.read()
-            onBytes(0, bytes.size)
+            onReceived(bytes.size)
             val frame = FrameCodec.decode(bytes).fold({ throw IOException(it) }, { it })
             lastReceivedAt = clock.elapsed()
             onFrame(frame)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -242,6 +242,12 @@
         @CborLabel(8) val suspectRevision: Long = 0,
         /** Latest term whose leader the sender knows; the answer does not wait if the receiver knows a later leader. */
         @CborLabel(9) val term: Long = Long.MAX_VALUE,
+        /** How a document that is newer than [documentVersion] is to be answered. */
+        @CborLabel(10) val documentDelivery: DocumentDelivery = DocumentDelivery.PLAIN,
+        /** Latest version of the document that was announced to the sender; it need not be announced again. */
+        @CborLabel(12) val announcedVersion: Long = -1,
+        /** Revision of the receiver's list of control instances that the sender knows; refers to [incarnation]. */
+        @CborLabel(13) val controlRevision: Long = 0,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -254,7 +260,7 @@
         @CborLabel(4) val document: ConfigurationDocument? = null,
         @CborLabel(5) val namedVersions: Map<AdapterName, Long>? = null,
         @CborLabel(6) val namedRevision: Long = -1,
-        /** Hosts of the control instances known to the sender. */
+        /** Hosts of the control instances known to the sender; empty if the receiver knows [controlRevision]. */
         @CborLabel(7) @SerialName("controls") val controlHosts: Set<String> = emptySet(),
         @CborLabel(8) val leader: String? = null,
         @CborLabel(9) val term: Long = 0,
@@ -265,8 +271,15 @@
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
         @CborLabel(13) val suspectRevision: Long = 0,
+        /** The document for a receiver that asked for [DocumentDelivery.COMPRESSED]. */
+        @CborLabel(19) val compressedDocument: CompressedDocument? = null,
+        /** Version of the sender's document if it was not announced to the receiver before; otherwise -1. */
+        @CborLabel(20) val documentVersion: Long = -1,
+        /** Availability zone of the sender, in the first answer of its incarnation. */
+        @CborLabel(21) val zone: String? = null,
+        @CborLabel(22) val controlRevision: Long = 0,
     ) : PeerMessage {
-        override val contentBytes: Int get() = document?.text?.length ?: 0
+        override val contentBytes: Int get() = compressedDocument?.sizeBytes ?: document?.text?.length ?: 0
     }
 
     /** Tells a control instance of requests under which backend servers have crashed, and of those that were cleared. */
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -39,7 +39,8 @@
  *
  * @param hybridClock stamps outgoing frames and observes the stamps of incoming ones
  * @param acceptsPeer whether the named peer may connect to this instance
- * @param onBytes called with the size of each frame sent or received
+ * @param onSent called for each frame that is sent, with its size
+ * @param onReceived called with the size of each frame received
  */
 public class PeerNetwork(
     private val self: String,
@@ -50,8 +51,10 @@
     private val hybridClock: HybridClock,
     private val options: PeerOptions = PeerOptions(),
     private val acceptsPeer: (peer: String) -> Boolean = { it in peers },
-    private val onBytes: (sent: Int, received: Int) -> Unit = { _, _ -> },
-) : Service {
+    private val onSent: (peer: String, message: PeerMessage, bytes: Int) -> Unit = { _, _, _ -> },
+    private val onReceived: (bytes: Int) -> Unit = {},
+) : Service,
+    PeerLinks {
     override val name: String = NAME
     private val log = EventLogger("peer")
     private val handshake = Handshake(secret)
@@ -78,8 +81,7 @@
         scope.launchPeriodically("peer-liveness", options.silenceTimeout / LIVENESS_CHECKS_PER_TIMEOUT) { checkConnections() }
     }
 
-    /** Opens a connection to [peer] at [address] and keeps it open. Does nothing if [peer] has one already. */
-    public fun connectTo(
+    override fun connectTo(
         peer: String,
         address: PeerAddress,
     ) {
@@ -88,8 +90,7 @@
         if (links.putIfAbsent(peer, link) == null) open(peer, link)
     }
 
-    /** Closes the connection to [peer], if there is one, and does not open it again. */
-    public fun disconnect(peer: String) {
+    override fun disconnect(peer: String) {
         links.remove(peer) ?: return
         linkJobs.remove(peer)?.cancel()
     }
@@ -101,7 +102,7 @@
     }
 
     /** Queues [message] for [peer] without waiting. It is dropped when the queue is full. A message to this instance is handled locally. */
-    public fun send(
+    override fun send(
         peer: String,
         message: PeerMessage,
     ) {
@@ -112,11 +113,17 @@
         }
     }
 
-    /** Sends [message] to [peer] and waits up to [timeout] for the answer. A message to this instance is handled locally. */
+    /** Sends [message] to [peer] and waits up to the default timeout for the answer. */
     public suspend fun call(
         peer: String,
         message: PeerMessage,
-        timeout: Duration = options.callTimeout,
+    ): Either<PeerError, PeerMessage> = call(peer, message, options.callTimeout)
+
+    /** Sends [message] to [peer] and waits up to [timeout] for the answer. A message to this instance is handled locally. */
+    override suspend fun call(
+        peer: String,
+        message: PeerMessage,
+        timeout: Duration,
     ): Either<PeerError, PeerMessage> {
         if (peer == self) return handler.handle(self, message).right()
         val link = links[peer]
@@ -145,7 +152,8 @@
         connect = { connect(peer, address) },
         ping = { Frame(0, false, hybridClock.next(), PeerMessage.Ping) },
         onFrame = { hybridClock.observe(it.stamp) },
-        onBytes = onBytes,
+        onSent = { message, bytes -> onSent(peer, message, bytes) },
+        onReceived = onReceived,
     )
 
     private suspend fun connect(
@@ -200,7 +208,7 @@
             launch { writeAnswers(connection, answers) }
             while (true) {
                 val bytes = connection.read()
-                onBytes(0, bytes.size)
+                onReceived(bytes.size)
                 val frame = FrameCodec.decode(bytes).fold({ throw IOException(it) }, { it })
                 hybridClock.observe(frame.stamp)
                 when (frame.message) {
@@ -244,7 +252,7 @@
         for (frame in answers) {
             val bytes = FrameCodec.encode(frame)
             connection.write(bytes, flush = true)
-            onBytes(bytes.size, 0)
+            onSent(connection.peer, frame.message, bytes.size)
         }
     }
 
--- a/wire/src/test/kotlin/anvilslip/wire/PeerLinkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerLinkSpec.kt
@@ -21,7 +21,8 @@
                 connect = { awaitCancellation() },
                 ping = { error("no ping is due") },
                 onFrame = {},
-                onBytes = { _, _ -> },
+                onSent = { _, _ -> },
+                onReceived = {},
             )
 
         fun frame(contentBytes: Int) =
