Decide between two random servers without a leader; spread the retry delays

Entry instances that decide without a leader all chose the server with the fewest of their own running requests, the first of the list at a tie. Each sees only a few requests, so nearly all decisions were ties and went to the same servers. A single holder per adapter was remembered.

LocalDispatch now takes two random servers of those that can serve and chooses the one with the shorter expected wait: own pending prompt tokens and own running requests over the speed that the server has shown in own answers, with the mean of the service as prior. Up to four holders per adapter are remembered, and forgotten when one turns out not to hold it. Refusals name a random delay of 0.3 to 1 s, at most a third of what remains of the deadline. ProgressReporter keeps counts per server instead of scanning all requests for each one.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
@@ -17,6 +17,8 @@
     /** The server did not run the request and will not run it later. */
     data class NotRun(
         val reason: String,
+        /** True if the server does not hold the adapter that it was expected to hold. */
+        val isNotHeld: Boolean = false,
     ) : AttemptResult
 
     /** The request may have run, but its response was lost or truncated. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -109,6 +109,7 @@
             decision as DispatchDecision.Send
             recordCharge(exchange, demand)
             exchange.lastServer = decision.server
+            progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
             val result = sendOnce(exchange, Attempt(number, decision)) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
@@ -191,6 +192,7 @@
 
             is AttemptResult.NotRun -> {
                 log.recordFailedAttempt("not_run", exchange, decision, result.reason)
+                if (result.isNotHeld) adapterOf(exchange)?.let { local.recordNotHeld(decision.server, it) }
                 exchange.isCharged = exchange.possibleRuns > 0
                 exchange.excludedServers += decision.server
                 if (exchange.attempts < MAX_ATTEMPTS && acquireRetry(exchange)) return null
@@ -260,19 +262,22 @@
         server: String,
     ): RunningRequest {
         val request = exchange.request
-        val unreadTokens = if (exchange.hasResponseStarted) 0 else request.promptTokens
         val left = (exchange.deadline - clock.elapsed()).inWholeMilliseconds
-        return RunningRequest(number, server, request.model, request.adapter, unreadTokens, left)
+        return RunningRequest(number, server, request.model, request.adapter, unreadTokens(exchange), left)
     }
 
+    private fun unreadTokens(exchange: Exchange): Int = if (exchange.hasResponseStarted) 0 else exchange.request.promptTokens
+
     private fun recordAdapterHolder(
         exchange: Exchange,
         server: String,
     ) {
-        val request = exchange.request
-        if (request.model != null && request.adapter != null) local.recordHolder(server, AdapterName(request.model, request.adapter))
+        adapterOf(exchange)?.let { local.recordHolder(server, it) }
     }
 
+    private fun adapterOf(exchange: Exchange): AdapterName? =
+        exchange.request.let { if (it.model != null && it.adapter != null) AdapterName(it.model, it.adapter) else null }
+
     private suspend fun answerRefusal(
         exchange: Exchange,
         refusal: DispatchDecision.Refuse,
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -195,8 +195,8 @@
     ) = log.error("storage_damaged", "reason" to reason, "kept_in" to keptIn)
 
     private fun installEntry(address: Address) {
-        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
-        val local = LocalDispatch(clusterView, progress::countRunning)
+        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView, clock))
+        val local = LocalDispatch(clusterView, progress)
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
         val availability = ServerAvailability(clusterView, clock)
         val sender = RequestSender(client, dialects.requests, progress, availability, clock)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -9,24 +9,28 @@
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingWorkspace
 import anvilslip.state.AdapterName
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Decides on requests locally while no leader can be reached. Uses only servers that already hold the adapter, and only this
- * instance's share of each rate limit, which the leader reserves for instances that it cannot reach.
+ * instance's share of each rate limit, which the leader reserves for instances that it cannot reach. Of two random servers that can serve
+ * a request it chooses the one with the shorter expected wait: all instances decide at the same time and see only their own requests, so
+ * they would all send to the server that looks best.
  */
 public class LocalDispatch(
     private val clusterView: ClusterView,
-    private val countRunning: (server: String) -> Int,
+    private val load: LocalLoad,
+    private val random: Random,
 ) {
     private val log = EventLogger("admission")
     private val limits = LocalLimits()
     private var loggedAt = Duration.ZERO
-    private val recentHolders =
-        object : LinkedHashMap<AdapterName, String>(INITIAL_SIZE, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<AdapterName, String>): Boolean = size > MAX_RECENT_HOLDERS
-        }
+    private val recentHolders = AdapterHolders()
+
+    /** Decides with a random source of its own. */
+    public constructor(clusterView: ClusterView, load: LocalLoad) : this(clusterView, load, Random.Default)
 
     /** Records that [server] has served a request for [adapter]. */
     @Synchronized
@@ -34,7 +38,16 @@
         server: String,
         adapter: AdapterName,
     ) {
-        recentHolders[adapter] = server
+        recentHolders.record(server, adapter)
+    }
+
+    /** Records that [server] was expected to hold [adapter] and does not. */
+    @Synchronized
+    public fun recordNotHeld(
+        server: String,
+        adapter: AdapterName,
+    ) {
+        recentHolders.remove(server, adapter)
     }
 
     /** Selects a server for [request], or refuses it. */
@@ -47,15 +60,41 @@
             clusterView.servers().filter {
                 it.service == request.service && it.phase == ServerPhase.READY && it.id !in request.exclude
             }
-        if (candidates.isEmpty()) return DispatchDecision.Refuse(DispatchRefusal.NO_SERVER, RETRY_AFTER.inWholeMilliseconds)
+        if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, request)
         val eligible = candidates.filter { canServe(it, request) }
-        val best =
-            eligible.minByOrNull { countRunning(it.id) + if (it.zone == request.zone) 0.0 else OTHER_ZONE_PENALTY }
-                ?: return DispatchDecision.Refuse(DispatchRefusal.LOADING, RETRY_AFTER.inWholeMilliseconds)
+        val best = chooseOfTwo(eligible, request) ?: return refuse(DispatchRefusal.LOADING, request)
         chargeOrRefuse(request, now)?.let { return it }
         return DispatchDecision.Send(best.id, best.address, version = version(request))
     }
 
+    private fun chooseOfTwo(
+        eligible: List<ServerReport>,
+        request: DispatchRequest,
+    ): ServerReport? {
+        if (eligible.isEmpty()) return null
+        val first = random.nextInt(eligible.size)
+        val second = if (eligible.size == 1) first else (first + random.nextInt(1, eligible.size)) % eligible.size
+        return listOf(eligible[first], eligible[second]).minBy { expectedWaitMillis(it, request) }
+    }
+
+    private fun expectedWaitMillis(
+        server: ServerReport,
+        request: DispatchRequest,
+    ): Double {
+        val transit = if (server.zone == request.zone) 0.0 else OTHER_ZONE_MILLIS
+        return transit + load.expectedWaitMillis(server.id, server.service, request.promptTokens)
+    }
+
+    /** Refuses [request] with a random retry delay, so that clients that are refused together do not all return together. */
+    private fun refuse(
+        reason: DispatchRefusal,
+        request: DispatchRequest,
+    ): DispatchDecision.Refuse {
+        val untilLeader = random.nextLong(MIN_RETRY_MILLIS, MAX_RETRY_MILLIS + 1)
+        val latest = (request.remainingMillis / RETRY_DEADLINE_PARTS).coerceAtLeast(0)
+        return DispatchDecision.Refuse(reason, minOf(untilLeader, latest))
+    }
+
     /** Records that a leader granted the tokens of [request]. */
     @Synchronized
     public fun recordGranted(
@@ -72,15 +111,15 @@
         now: Duration,
     ): DispatchDecision.Refuse? {
         val workspace = limitedWorkspace(request) ?: return null
-        val entries = clusterView.entryCount ?: return refuseOverLimit()
-        if (limits.waitTime(workspace, request.charge, entries, now).isPositive()) return refuseOverLimit()
+        val entries = clusterView.entryCount ?: return refuseOverLimit(request)
+        if (limits.waitTime(workspace, request.charge, entries, now).isPositive()) return refuseOverLimit(request)
         limits.spend(workspace, request.charge, entries, now)
         if (now - loggedAt >= LOG_INTERVAL) logLimits(entries, now)
         return null
     }
 
     /** The retry delay is not that of the local share, since a leader, or an instance that reaches one, knows the whole limit. */
-    private fun refuseOverLimit() = DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, RETRY_AFTER.inWholeMilliseconds)
+    private fun refuseOverLimit(request: DispatchRequest) = refuse(DispatchRefusal.OVER_LIMIT, request)
 
     private fun limitedWorkspace(request: DispatchRequest): ServingWorkspace? {
         if (request.workspace == null || request.charge <= 0) return null
@@ -121,17 +160,19 @@
         val model = request.model ?: return true
         val held = server.models.orEmpty().firstOrNull { it.name == model } ?: return false
         val adapter = request.adapter ?: return true
-        return adapter in held.adapters || recentHolders[AdapterName(model, adapter)] == server.id
+        return adapter in held.adapters || server.id in recentHolders[AdapterName(model, adapter)]
     }
 
     private companion object {
-        val RETRY_AFTER = 500.milliseconds
+        /** Time in milliseconds within which a leader is expected: an election takes about 0.3 to 1 s. */
+        const val MIN_RETRY_MILLIS = 300L
+        const val MAX_RETRY_MILLIS = 1000L
+
+        /** A retry after more than a third of the remaining time would often end after the deadline. */
+        const val RETRY_DEADLINE_PARTS = 3
 
-        /** Running requests that a server in another zone counts as having in addition. */
-        const val OTHER_ZONE_PENALTY = 0.5
+        /** Additional time in milliseconds that a server in another zone counts with; decides between servers that are as busy. */
+        const val OTHER_ZONE_MILLIS = 0.5
         val LOG_INTERVAL = 500.milliseconds
-        const val INITIAL_SIZE = 64
-        const val LOAD_FACTOR = 0.75f
-        const val MAX_RECENT_HOLDERS = 512
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -1,7 +1,10 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.Clock
 import anvilslip.kernel.Service
+import anvilslip.kernel.SystemClock
 import anvilslip.kernel.launchSupervised
+import anvilslip.policy.LocalLoads
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
 import anvilslip.policy.RunningRequest
@@ -22,11 +25,14 @@
     private val host: String,
     private val network: PeerNetwork,
     private val clusterView: ClusterView,
-) : Service {
+    private val clock: Clock = SystemClock,
+) : Service,
+    LocalLoad {
     override val name: String = NAME
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val events = Channel<RequestEvent>(QUEUE_LENGTH)
     private val running = ConcurrentHashMap<Long, () -> RunningRequest>()
+    private val loads = LocalLoads()
     private var lastReportedTerm = 0L
 
     override suspend fun start() {
@@ -43,8 +49,13 @@
         scope.coroutineContext[Job]?.cancelAndJoin()
     }
 
-    /** Returns the number of requests that were sent to [server] and have not ended. */
-    public fun countRunning(server: String): Int = running.values.count { it().server == server }
+    override fun countRunning(server: String): Int = synchronized(loads) { loads.countRunning(server) }
+
+    override fun expectedWaitMillis(
+        server: String,
+        service: String,
+        promptTokens: Int,
+    ): Double = synchronized(loads) { loads.expectedWaitMillis(server, service, promptTokens) }
 
     /** Records that request [number] was sent; [describe] returns its state at the time of the call. */
     public fun recordSent(
@@ -54,12 +65,23 @@
         running[number] = describe
     }
 
+    /** Records that request [number], of which [promptTokens] have to be processed, is sent to [server] of [service]. */
+    public fun recordLoad(
+        number: Long,
+        server: String,
+        service: String,
+        promptTokens: Int,
+    ): Unit = synchronized(loads) { loads.recordSent(number, server, service, promptTokens, clock.elapsed()) }
+
     /** Records that request [number] has reached [step]. */
     public fun recordStep(
         number: Long,
         step: RequestStep,
     ) {
         if (step != RequestStep.ANSWERING) running.remove(number)
+        synchronized(loads) {
+            if (step == RequestStep.ANSWERING) loads.recordAnswering(number, clock.elapsed()) else loads.recordEnded(number)
+        }
         events.trySend(RequestEvent(number, step))
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -81,9 +81,9 @@
         try {
             response.readAll(MAX_REFUSAL_BYTES)
         } catch (e: HttpClientException) {
-            return AttemptResult.NotRun("$reason, body truncated: ${e.message}")
+            return AttemptResult.NotRun("$reason, body truncated: ${e.message}", step == RequestStep.NOT_HELD)
         }
-        return AttemptResult.NotRun(reason)
+        return AttemptResult.NotRun(reason, step == RequestStep.NOT_HELD)
     }
 
     private suspend fun relay(
