Answer 503 to requests that no server can have received

Requests whose deadline passed during an attempt got 504, also if the connection was still being opened, or if every attempt had been turned away. Requests whose writing failed before the socket accepted a byte got 502, as if they might have run.

A SendGate for each attempt decides once, on the event loop, between writing the first byte and giving up; a deadline that passes first closes it, so nothing is written afterwards and the answer is 503. A refusal that a server has stated clears it, also if the body of that refusal does not end. WriteProbe observes whether the socket accepted any byte, so a write that fails before that counts as not sent and is tried on a new connection or another server. A port out of range and headers that cannot be encoded count as not sent too.

502 and 504 stay wherever a byte may have left, including a failed write after a first part, a connection that breaks after the write, and an earlier attempt that may have run.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -25,6 +25,8 @@
 internal class ClientConnection(
     private val clock: Clock,
     private val onForeignAnswer: (ForeignAnswer) -> Unit,
+    /** Another handler of the same channel, before the codec. */
+    private val probe: WriteProbe = WriteProbe(),
     /** Called when an exchange has ended and the connection can be used again; with the time for which the server keeps it. */
     private val onIdle: (ClientConnection, serverIdleLimit: Duration?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -75,11 +77,12 @@
         request: FullHttpRequest,
         correlation: Correlation?,
         readTimeout: Duration,
+        gate: SendGate? = null,
     ): HttpClientResponse {
         lateinit var next: HttpClientResponse
         val window = ReceiveWindow { reading -> if (response === next) setReading(reading) }
         next = HttpClientResponse(readTimeout, window) { abandon(next) }
-        onEventLoop { begin(request, correlation, next) }
+        onEventLoop { begin(request, correlation, next, gate) }
         return next
     }
 
@@ -102,15 +105,12 @@
         request: FullHttpRequest,
         correlation: Correlation?,
         next: HttpClientResponse,
+        gate: SendGate?,
     ) {
         val isCarried = correlation != null && !carriedIds.add(correlation.id.hashCode())
         if (response == null) discardPartialInput()
-        if (response != null || isCarried || !isActive) {
-            ReferenceCountUtil.release(request)
-            next.onFailure(HttpClientException.NotSent("the connection can carry no further request"))
-            context.close()
-            return
-        }
+        if (response != null || isCarried || !isActive) return refuse(request, next, "the connection can carry no further request")
+        if (gate?.trySend() == false) return refuse(request, next, "the sender has given up")
         response = next
         this.correlation = correlation
         isShareable = request.method() !in UNSHARED
@@ -118,8 +118,29 @@
         phase = Phase.AWAITING_HEAD
         isWritten = false
         exchanges++
+        probe.hasWritten = false
         context.channel().writeAndFlush(request).addListener {
-            if (it.isSuccess) isWritten = true else next.onFailure("sending failed: ${it.cause()?.message}")
+            if (it.isSuccess) isWritten = true else next.onFailure(sendFailure(it.cause()))
+        }
+    }
+
+    private fun refuse(
+        request: FullHttpRequest,
+        next: HttpClientResponse,
+        reason: String,
+    ) {
+        ReferenceCountUtil.release(request)
+        next.onFailure(HttpClientException.NotSent(reason))
+        context.close()
+    }
+
+    /** The failure of a request that was not written to its end. No more of it is written after that. */
+    private fun sendFailure(cause: Throwable?): HttpClientException {
+        val message = "sending failed: ${cause?.message}"
+        return if (probe.hasWritten) {
+            HttpClientException.IncompleteResponse(message, false, cause)
+        } else {
+            HttpClientException.NotSent(message, cause)
         }
     }
 
@@ -132,7 +153,7 @@
         if (pipeline.get(HttpClientCodec::class.java) == null) return
         // Not replace(), which would pass the partial input to the new codec.
         pipeline.remove(HttpClientCodec::class.java)
-        pipeline.addFirst(HttpClientCodec())
+        pipeline.addBefore(context.name(), null, HttpClientCodec())
     }
 
     override fun channelRead(
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -94,9 +94,13 @@
     ): HttpClientResponse {
         val response =
             try {
-                connection.send(nettyRequest(address, request), request.correlation, readTimeout)
+                connection.send(nettyRequest(address, request), request.correlation, readTimeout, request.gate)
             } catch (e: RejectedExecutionException) {
+                connection.close()
                 throw HttpClientException.NotSent("the client is stopped", e)
+            } catch (e: IllegalArgumentException) {
+                connection.close()
+                throw HttpClientException.NotSent("the request cannot be encoded: ${e.message}", e)
             }
         try {
             response.awaitHead()
@@ -136,27 +140,38 @@
 
     private suspend fun connect(address: String): ClientConnection {
         val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toIntOrNull() ?: throw HttpClientException.NotSent("'$address' is not host:port")
-        val connection = ClientConnection(clock, onForeignAnswer) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
+        val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
+        if (port == null) throw HttpClientException.NotSent("'$address' is not host:port")
+        val probe = WriteProbe()
+        val connection = ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
         try {
             withTimeoutOrNull(connectTimeout) {
                 bootstrap
                     .clone()
-                    .handler(initializer(connection))
+                    .handler(initializer(probe, connection))
                     .connect(host, port)
                     .awaitConnected()
             }
                 ?: throw HttpClientException.NotSent("connecting to $address timed out")
         } catch (e: IOException) {
             throw e as? HttpClientException ?: HttpClientException.NotSent("connecting to $address failed: ${e.message}", e)
+        } catch (e: IllegalStateException) {
+            // A stopped event loop accepts no channel.
+            if (e is CancellationException) throw e
+            throw HttpClientException.NotSent("the client is stopped", e)
+        } catch (e: RejectedExecutionException) {
+            throw HttpClientException.NotSent("the client is stopped", e)
         }
         return connection
     }
 
-    private fun initializer(connection: ClientConnection) =
+    private fun initializer(
+        probe: WriteProbe,
+        connection: ClientConnection,
+    ) =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                channel.pipeline().addLast(HttpClientCodec(), connection)
+                channel.pipeline().addLast(probe, HttpClientCodec(), connection)
             }
         }
 
@@ -196,6 +211,7 @@
         /** Service name. */
         public const val NAME: String = "http-client"
         private const val MAX_IDLE = 64
+        private val PORTS = 1..65535
 
         /** Fraction of the keep-alive timeout of the server after which a connection is dropped, so that it is not closed during reuse. */
         private const val KEEP_ALIVE_FRACTION = 0.6
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
@@ -15,4 +15,6 @@
      * connection with no other.
      */
     public val correlation: Correlation? = null,
+    /** Tells whether a byte of the request may have been written; null if its sender does not need to know. */
+    public val gate: SendGate? = null,
 )
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -1,6 +1,7 @@
 package anvilslip.gateway
 
 import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.SendGate
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
 import anvilslip.policy.SseEventBuffer
@@ -31,6 +32,10 @@
     /** Number of attempts in which a server may have run the request. */
     var possibleRuns = 0
 
+    /** Gate of the attempt in progress, until it is known that the server did not run the request. */
+    @Volatile
+    var gate: SendGate? = null
+
     /** Number of all attempts, including those that no server ran. */
     var attempts = 0
 
@@ -49,4 +54,7 @@
     /** When the response of a server last broke off; null if none did. */
     var lastBreakAt: Duration? = null
     var lastTerm: Long? = null
+
+    /** Gives up the attempt in progress and returns true if a server may have received the request in it or may have run it before. */
+    fun mayHaveRunWhenGivenUp(): Boolean = gate?.tryClose() == false || possibleRuns > 0
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -289,9 +289,12 @@
         return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, retryAfter)
     }
 
-    /** Fails a request whose deadline, set by the client or by the timeout of the route, has passed. */
+    /**
+     * Fails a request whose deadline, set by the client or by the timeout of the route, has passed. It is answered as not run if all
+     * attempts were turned away or gave up before a byte was sent.
+     */
     private suspend fun failExpired(exchange: Exchange): String =
-        fail(exchange, if (exchange.attempts == 0) UNAVAILABLE else GATEWAY_TIMEOUT, "timed_out", null)
+        fail(exchange, if (exchange.mayHaveRunWhenGivenUp()) GATEWAY_TIMEOUT else UNAVAILABLE, "timed_out", null)
 
     private suspend fun fail(
         exchange: Exchange,
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -25,11 +25,13 @@
         attempt: Attempt,
     ): AttemptResult {
         val call = buildCall(exchange, attempt)
+        exchange.gate = attempt.gate
         val incarnation = availability.incarnationOf(attempt.decision.server)
         val response =
             try {
                 client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
             } catch (e: HttpClientException.NotSent) {
+                exchange.gate = null
                 progress.recordStep(attempt.number, RequestStep.UNREACHABLE)
                 return AttemptResult.NotRun(e.message ?: "not sent")
             } catch (e: HttpClientException.IncompleteResponse) {
@@ -38,8 +40,8 @@
         response.use {
             availability.record(incarnation, dialect.noticeOf(response))
             return when (dialect.classify(response)) {
-                ServerVerdict.NOT_RUN -> recordNotRun(attempt, RequestStep.NOT_RUN, response)
-                ServerVerdict.NOT_HELD -> recordNotRun(attempt, RequestStep.NOT_HELD, response)
+                ServerVerdict.NOT_RUN -> recordNotRun(exchange, attempt, RequestStep.NOT_RUN, response)
+                ServerVerdict.NOT_HELD -> recordNotRun(exchange, attempt, RequestStep.NOT_HELD, response)
                 ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer was not created by the server")
                 ServerVerdict.ANSWER -> relay(exchange, attempt, response)
             }
@@ -68,14 +70,17 @@
             freshConnection = !exchange.route.isRetryable,
             host = request.call.header("host"),
             correlation = dialect.correlationOf(request),
+            gate = attempt.gate,
         )
     }
 
     private suspend fun recordNotRun(
+        exchange: Exchange,
         attempt: Attempt,
         step: RequestStep,
         response: HttpClientResponse,
     ): AttemptResult {
+        exchange.gate = null
         progress.recordStep(attempt.number, step)
         val reason = "${response.status}"
         try {
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -22,6 +22,7 @@
 import arrow.core.right
 import java.net.ServerSocket
 import java.net.Socket
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -49,7 +50,7 @@
 /**
  * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
- * without a leader because of the limit. [retryReserve] is the number of retries allowed; [demands] records all requests for admission.
+ * without a leader because of the limit. [retryReserve] is the number of retries allowed, [connectTimeout] that of connections to servers; [demands] records all requests for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -57,6 +58,7 @@
     localRefusals: Int = 0,
     retryReserve: Double = 2.0,
     senderClock: Clock = SystemClock,
+    connectTimeout: Duration = 300.milliseconds,
     demands: MutableList<DispatchRequest> = mutableListOf(),
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
@@ -72,7 +74,7 @@
             HybridClock(SystemClock),
         )
     val progress = ProgressReporter("e", network, clusterView)
-    val client = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
+    val client = HttpClient(connectTimeout = connectTimeout, threads = 1)
     val availability = ServerAvailability(clusterView, SystemClock)
 
     var refused = 0
--- a/gateway/src/test/kotlin/anvilslip/gateway/ScriptedServer.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ScriptedServer.kt
@@ -3,6 +3,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.nio.channels.SocketChannel
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
@@ -11,9 +12,14 @@
  * records the connections that the peer closes.
  */
 internal class ScriptedServer(
+    /** If false, connections to this server are neither accepted nor refused. */
+    acceptsConnections: Boolean = true,
     private val script: (head: String, socket: Socket) -> String?,
 ) : AutoCloseable {
-    private val socket = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val socket = ServerSocket(0, if (acceptsConnections) BACKLOG else 1, InetAddress.getByName("127.0.0.1"))
+
+    /** Fill the queue of connections to accept, so that the system answers no further one. */
+    private val queued = if (acceptsConnections) emptyList() else List(QUEUED_CONNECTIONS) { connectOnce() }
 
     /** Heads of the received requests. */
     val requests = CopyOnWriteArrayList<String>()
@@ -27,12 +33,20 @@
     val address: String get() = "127.0.0.1:${socket.localPort}"
 
     init {
-        thread(isDaemon = true) {
-            while (!socket.isClosed) {
-                val accepted = runCatching { socket.accept() }.getOrNull() ?: break
-                connections += accepted
-                thread(isDaemon = true) { serve(accepted) }
-            }
+        if (acceptsConnections) thread(isDaemon = true) { acceptAll() }
+    }
+
+    private fun connectOnce(): SocketChannel =
+        SocketChannel.open().apply {
+            configureBlocking(false)
+            connect(socket.localSocketAddress)
+        }
+
+    private fun acceptAll() {
+        while (!socket.isClosed) {
+            val accepted = runCatching { socket.accept() }.getOrNull() ?: break
+            connections += accepted
+            thread(isDaemon = true) { serve(accepted) }
         }
     }
 
@@ -58,9 +72,13 @@
     override fun close() {
         socket.close()
         connections.forEach { it.close() }
+        queued.forEach { it.close() }
     }
 
     private companion object {
         const val BACKLOG = 50
+
+        /** More than a queue of length 1 holds. */
+        const val QUEUED_CONNECTIONS = 4
     }
 }
