Evacuate availability zones

Operators can order that nothing new is sent to the servers of a zone. The evacuations are in the replicated log, reach all instances with the watch, and are enforced by the leader, by decisions without a leader, and again right before a request or an order to an engine is sent.

A command names the revision that was known when the operator called. Without that, a late copy of a Start that was repeated elsewhere would begin an ended evacuation again.

A request that is not sent although it was admitted (pause, quarantine, evacuation) is charged again at its next admission, since the leader refunds it. Before, such a request ran without a charge.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -25,6 +25,7 @@
     private val clock: Clock,
     seeds: Set<String>,
     heartbeat: Duration,
+    private val onEvacuationChange: (zone: String, isActive: Boolean) -> Unit = { _, _ -> },
 ) {
     /** The active configuration document, its parsed form, and the versions set for adapters. */
     public data class ActiveConfiguration(
@@ -34,6 +35,12 @@
         val versionsRevision: Long = -1,
     )
 
+    /** Availability zones under evacuation; [revision] increases with each change, and is -1 until a state is known. */
+    public data class Evacuations(
+        val zones: Set<String> = emptySet(),
+        val revision: Long = -1,
+    )
+
     /** The last known leader. */
     public data class Leader(
         val host: String?,
@@ -55,6 +62,7 @@
     private val changes = MutableStateFlow(0L)
     private val activeRef = AtomicReference(ActiveConfiguration())
     private val leaderRef = AtomicReference(Leader(null, 0))
+    private val evacuationsRef = AtomicReference(Evacuations())
     private val serverTimeout = heartbeat * MISSED_HEARTBEATS + HEARTBEAT_GRACE
 
     private val controls = ControlInstances(seeds)
@@ -74,6 +82,9 @@
     /** The last known leader; its host is null until one is known. */
     public val leader: Leader get() = leaderRef.get()
 
+    /** The availability zones to whose servers nothing new is sent. */
+    public val evacuations: Evacuations get() = evacuationsRef.get()
+
     /** Hosts of the seeds and of the control instances that were reported recently. */
     public val controlHosts: Set<String> get() = knownControlHosts
 
@@ -117,6 +128,33 @@
         signalChange()
     }
 
+    /** Applies the state of the evacuations if it is newer than the known one. */
+    public fun applyEvacuations(next: Evacuations) {
+        synchronized(evacuationsRef) {
+            val previous = evacuations
+            if (next.revision <= previous.revision) return
+            evacuationsRef.set(next)
+            for (zone in next.zones - previous.zones) recordEvacuationChange(zone, isActive = true, next.revision)
+            for (zone in previous.zones - next.zones) recordEvacuationChange(zone, isActive = false, next.revision)
+        }
+        signalChange()
+    }
+
+    private fun recordEvacuationChange(
+        zone: String,
+        isActive: Boolean,
+        revision: Long,
+    ) {
+        log.info("evacuation_changed", "zone" to zone, "active" to isActive, "revision" to revision)
+        onEvacuationChange(zone, isActive)
+    }
+
+    /** True if [server] is in an availability zone under evacuation. */
+    public fun isEvacuated(server: ServerReport): Boolean = server.zone in evacuations.zones
+
+    /** True if backend server [id] is known to be in an availability zone under evacuation. */
+    public fun isEvacuated(id: String): Boolean = evacuations.zones.isNotEmpty() && server(id)?.let(::isEvacuated) == true
+
     /** Records that [host] leads in [term], unless a leader of a later term is known. */
     public fun observeLeader(
         host: String,
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -22,13 +22,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Operations of a control instance for operators, backend servers and clients. */
+/**
+ * Operations of a control instance for operators, backend servers and clients.
+ *
+ * @param zones all availability zones; empty if they are not known
+ */
 public class ControlOperations(
     private val dialect: DocumentDialect,
     private val clusterView: ClusterView,
     private val replica: Replica,
     private val network: PeerNetwork,
     private val watchResponder: WatchResponder,
+    private val zones: Set<String>,
     private val clock: Clock,
 ) {
     private val log = EventLogger("control")
@@ -48,6 +53,18 @@
         public data object Unknown : DocumentError
     }
 
+    /** Why the start or the end of an evacuation was not acknowledged. */
+    public enum class EvacuationError {
+        /** The name of the zone is empty or contains a slash. */
+        INVALID_ZONE,
+
+        /** No such zone exists. */
+        UNKNOWN_ZONE,
+
+        /** The change may or may not have been applied; it is safe to retry. */
+        UNCONFIRMED,
+    }
+
     /** Replaces the configuration by the document [text]; returns the version that is active afterwards, which may be a newer one. */
     public suspend fun replaceDocument(text: String): Either<DocumentError, Long> {
         val version = parsing.withLock { dialect.parse(text).map { it.version } }.getOrElse { return rejectInvalid(it).left() }
@@ -76,6 +93,31 @@
         return outcome != null
     }
 
+    /** Starts the evacuation of the availability zone [zone], or ends it; returns once the replicas have committed that. */
+    public suspend fun setEvacuation(
+        zone: String,
+        isActive: Boolean,
+    ): Either<EvacuationError, Unit> {
+        if (zone.isEmpty() || '/' in zone) return EvacuationError.INVALID_ZONE.left()
+        if (zones.isNotEmpty() && zone !in zones) return EvacuationError.UNKNOWN_ZONE.left()
+        val outcome = proposeEvacuation(zone, isActive)
+        log.info("evacuation_proposed", "zone" to zone, "active" to isActive, "outcome" to outcome, "term" to replica.view.term)
+        return if (outcome is Outcome.Done) Unit.right() else EvacuationError.UNCONFIRMED.left()
+    }
+
+    /** Proposes again if the state here was behind that of the leader, or another evacuation came first. */
+    private suspend fun proposeEvacuation(
+        zone: String,
+        isActive: Boolean,
+    ): Outcome? {
+        var revision = replica.view.state.evacuationRevision
+        repeat(MAX_CONFLICTS) {
+            val outcome = propose(Command.SetEvacuation(zone, isActive, revision))
+            revision = (outcome as? Outcome.Conflict ?: return outcome).revision
+        }
+        return null
+    }
+
     /** Returns the latest committed document, null if none was ever committed, or an error if that could not be confirmed. */
     public suspend fun readDocument(): Either<ProposeError, ConfigurationDocument?> {
         val leader = remoteLeader() ?: return readOnLeader()
@@ -139,6 +181,9 @@
         const val MIN_NEARBY = 2
         val PROPOSE_TIMEOUT = 2500.milliseconds
         val PROPOSE_RETRY = 30.milliseconds
+
+        /** Attempts of one call at changing the evacuations. */
+        const val MAX_CONFLICTS = 3
         val READ_TIMEOUT = 900.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -103,7 +103,7 @@
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
             if (decision is DispatchDecision.Refuse) {
-                if (waitBeforeReadmission(exchange, admitted.term)) continue
+                if (waitBeforeReadmission(exchange, admitted.term, decision)) continue
                 return answerRefusal(exchange, decision)
             }
             decision as DispatchDecision.Send
@@ -115,15 +115,17 @@
         }
     }
 
-    /** Sends the request, or returns null if since it was admitted it was quarantined or the server asked for no more requests. */
+    /** Sends the request, or returns null if since it was admitted it may no longer be sent to that server. */
     private suspend fun sendOnce(
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult? {
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(attempt.decision.server)) {
+            if (isRevoked(exchange, attempt.decision.server)) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
+                // The leader refunds the tokens of a request that was not run, so the next admission must charge them again.
+                exchange.isCharged = exchange.possibleRuns > 0
                 return null
             }
             exchange.attempts++
@@ -134,6 +136,17 @@
         }
     }
 
+    /** True if the request has been quarantined, [server] has asked for no more requests, or its zone is under evacuation. */
+    private fun isRevoked(
+        exchange: Exchange,
+        server: String,
+    ): Boolean {
+        val isEvacuated = clusterView.isEvacuated(server)
+        // A leader that does not know of the evacuation yet would choose the next server of the zone.
+        if (isEvacuated) exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
+        return isEvacuated || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
+    }
+
     /** Refuses a request because [key], one of its suspect keys, is quarantined. Without a retry delay, since it will not be run later. */
     private suspend fun refuseQuarantined(
         exchange: Exchange,
@@ -162,6 +175,7 @@
     private suspend fun waitBeforeReadmission(
         exchange: Exchange,
         term: Long?,
+        refusal: DispatchDecision.Refuse,
     ): Boolean {
         val now = clock.elapsed()
         val lastBreakAt = exchange.lastBreakAt
@@ -171,7 +185,12 @@
             return true
         }
         val waited = now - exchange.startedAt
-        if (term != null || waited > exchange.route.target * LEADERLESS_WAIT_SHARE) return false
+        // An evacuation does not end because a leader is elected.
+        if (term != null || refusal.reason == DispatchRefusal.EVACUATED ||
+            waited > exchange.route.target * LEADERLESS_WAIT_SHARE
+        ) {
+            return false
+        }
         delay(LEADERLESS_POLL)
         return true
     }
@@ -280,10 +299,24 @@
         log.recordRefusal(exchange, refusal)
         val status = if (refusal.reason == DispatchRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
-        val retryAfter = availability.timeUntilAvailable(exchange.service) ?: refusal.retryMillis.milliseconds
+        val retryAfter = if (refusal.reason == DispatchRefusal.EVACUATED) spread(refusal, exchange) else retryAfter(refusal, exchange)
         return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, retryAfter)
     }
 
+    private fun retryAfter(
+        refusal: DispatchDecision.Refuse,
+        exchange: Exchange,
+    ): Duration = availability.timeUntilAvailable(exchange.service) ?: refusal.retryMillis.milliseconds
+
+    /** The retry delay of [refusal] plus or minus a quarter, so that clients refused together do not return together. */
+    private fun spread(
+        refusal: DispatchDecision.Refuse,
+        exchange: Exchange,
+    ): Duration {
+        val delay = refusal.retryMillis.milliseconds * Random.nextDouble(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+        return minOf(delay, (exchange.deadline - clock.elapsed()) / 3).coerceAtLeast(Duration.ZERO)
+    }
+
     /** Fails a request whose deadline, set by the client or by the timeout of the route, has passed. */
     private suspend fun failExpired(exchange: Exchange): String =
         fail(exchange, if (exchange.attempts == 0) UNAVAILABLE else GATEWAY_TIMEOUT, "timed_out", null)
@@ -341,6 +374,9 @@
         val BUSY_RETRY_AFTER = 100.milliseconds
         val STARTING_RETRY_AFTER = 500.milliseconds
 
+        /** Largest deviation of a retry delay, as a share of it. */
+        const val RETRY_SPREAD = 0.25
+
         /** Short, since another instance can serve the retry at once. */
         val STOPPING_RETRY_AFTER = 20.milliseconds
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -45,8 +45,9 @@
     private val incarnation = UUID.randomUUID().toString().take(INCARNATION_LENGTH)
     private val metrics = kernel.install(Metrics())
     private val network = kernel.install(network())
-    private val clusterView = ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat)
     private val requestMetrics = GatewayMetrics(metrics)
+    private val clusterView =
+        ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat, requestMetrics::recordEvacuation)
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
     private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
@@ -58,6 +59,7 @@
     private var isStopping = false
 
     init {
+        settings.zones.forEach { requestMetrics.recordEvacuation(it, isActive = false) }
         network.handler = if (settings.isControl) installControl() else PeerHandler { _, message -> answer(message) }
         if (settings.clients != null) installEntry(settings.clients!!)
         val address = Address(settings.host, settings.metricsPort)
@@ -135,7 +137,7 @@
             kernel.install(
                 LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
             )
-        val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
+        val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
         settings.directory?.let {
@@ -165,6 +167,7 @@
                 onStateChange = { state ->
                     // Before the document, with which entry instances that have just started become ready.
                     restoreQuarantines(state)
+                    clusterView.applyEvacuations(ClusterView.Evacuations(state.evacuations, state.evacuationRevision))
                     state.document?.let(clusterView::applyDocument)
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
@@ -17,4 +17,12 @@
     /** Number of answers that do not name the request that was waiting, by the ID that they have and the age of their connection. */
     public val foreignAnswers: Counter =
         metrics.counter("anvilslip_foreign_answers_total", "Answers that do not name the waiting request", "id", "connection")
+
+    private val evacuatedZones = metrics.gauge("anvilslip_zone_evacuated", "1 if the availability zone is under evacuation", "zone")
+
+    /** Records whether the availability zone [zone] is under evacuation. */
+    public fun recordEvacuation(
+        zone: String,
+        isActive: Boolean,
+    ): Unit = evacuatedZones.labelValues(zone).set(if (isActive) 1.0 else 0.0)
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -161,6 +161,7 @@
     private fun refreshDispatcher(term: LeaderTerm) {
         val active = clusterView.active
         active.configuration?.let { term.dispatcher.configure(it, active.versions, clock.elapsed()) }
+        term.dispatcher.setEvacuatedZones(clusterView.evacuations.zones)
         val revision = clusterView.changeCount
         if (revision == term.fleetRevision) return
         term.fleetRevision = revision
@@ -294,6 +295,7 @@
     ): OrderReply {
         val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
+        if (clusterView.isEvacuated(order.server)) return OrderReply.REFUSED
         // The engine may have received an order whose exchange failed.
         val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, term.number) } ?: OrderReply.UNANSWERED
         log.info(
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -43,10 +43,10 @@
         request: DispatchRequest,
         now: Duration,
     ): DispatchDecision {
-        val candidates =
-            clusterView.servers().filter {
-                it.service == request.service && it.phase == ServerPhase.READY && it.id !in request.exclude
-            }
+        val ready = clusterView.servers().filter { it.service == request.service && it.phase == ServerPhase.READY }
+        val available = ready.filterNot(clusterView::isEvacuated)
+        if (available.isEmpty() && ready.isNotEmpty()) return DispatchDecision.Refuse.evacuated(ready.size)
+        val candidates = available.filter { it.id !in request.exclude }
         if (candidates.isEmpty()) return DispatchDecision.Refuse(DispatchRefusal.NO_SERVER, RETRY_AFTER.inWholeMilliseconds)
         val eligible = candidates.filter { canServe(it, request) }
         val best =
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
@@ -36,7 +36,8 @@
      */
     public fun timeUntilAvailable(service: String): Duration? {
         if (absences.isEmpty()) return null
-        val servers = clusterView.servers().filter { it.service == service && it.phase == ServerPhase.READY }
+        val ready = clusterView.servers().filter { it.service == service && it.phase == ServerPhase.READY }
+        val servers = ready.filterNot(clusterView::isEvacuated)
         if (servers.any { !isUnavailable(it.id) }) return null
         val ends = servers.mapNotNull { absences[incarnationOf(it.id)] }.filter { !it.isLeaving }.map { it.until }
         return ends.minOrNull()?.let { it - clock.elapsed() }
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -71,6 +71,7 @@
         val active = clusterView.active
         val version = active.document?.version
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
+            clusterView.evacuations.revision > watch.evacuationRevision ||
             (version != null && version > watch.documentVersion) || clusterView.suspects.revision > watch.suspectRevision ||
             clusterView.hasDirectFleetChangeSince(watch.fleetRevision) || knowsLaterLeader(watch.term)
     }
@@ -83,6 +84,7 @@
         val update = clusterView.fleetUpdateSince(since, directOnly = !isNewIncarnation && watch.entry == null)
         val suspects = clusterView.suspects.changesSince(if (isNewIncarnation) 0 else watch.suspectRevision)
         val active = clusterView.active
+        val evacuations = clusterView.evacuations
         val view = replicaView()
         return PeerMessage.WatchReply(
             incarnation = incarnation,
@@ -98,6 +100,8 @@
             entryCount = withEntries { inUseCount(it) },
             suspects = suspects.reports,
             suspectRevision = suspects.revision,
+            evacuations = evacuations.zones.takeIf { evacuations.revision > watch.evacuationRevision },
+            evacuationRevision = evacuations.revision,
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -129,6 +129,7 @@
             suspects = if (position.hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports,
             suspectRevision = position.suspectRevision,
             term = clusterView.leader.term,
+            evacuationRevision = clusterView.evacuations.revision,
         )
     }
 
@@ -138,6 +139,7 @@
     ) {
         // Before the document, with which an instance that has just started becomes ready.
         clusterView.suspects.merge(reply.suspects)
+        reply.evacuations?.let { clusterView.applyEvacuations(ClusterView.Evacuations(it, reply.evacuationRevision)) }
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -11,6 +11,8 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RetryBudget
+import anvilslip.policy.ServerPhase
+import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
@@ -41,6 +43,7 @@
                 route("again", RequestKind.IDEMPOTENT),
                 route("stream", RequestKind.STREAMING),
                 route("resume", RequestKind.STREAMING, resumable = true),
+                route("patient", RequestKind.IDEMPOTENT).copy(timeout = 20.seconds),
                 route("charged", RequestKind.STREAMING, resumable = true, attempts = 3).copy(isPublic = false),
             ),
         workspaces = listOf(ServingWorkspace("w", listOf("k"))),
@@ -49,7 +52,8 @@
 /**
  * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
- * without a leader because of the limit. [retryReserve] is the number of retries allowed; [demands] records all requests for admission.
+ * without a leader because of the limit; [localDecision] replaces the decision on every request. The servers are in [zones], if given, and
+ * [onAdmitted] is called after each decision, before the request is sent. [retryReserve] is the number of retries allowed; [demands] records all requests for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -58,10 +62,16 @@
     retryReserve: Double = 2.0,
     senderClock: Clock = SystemClock,
     demands: MutableList<DispatchRequest> = mutableListOf(),
+    localDecision: DispatchDecision? = null,
+    zones: List<String> = emptyList(),
+    onAdmitted: (ClusterView) -> Unit = {},
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
     val clusterView = ClusterView({ configuration.right() }, SystemClock, setOf("127.0.0.1"), 1.seconds)
     clusterView.applyDocument(ConfigurationDocument(1, "text"))
+    zones.forEachIndexed { at, zone ->
+        clusterView.recordReport(ServerReport("s$at", "s", servers[at].address, zone, ServerPhase.READY, 1, 1), direct = true)
+    }
     val network =
         PeerNetwork(
             "e",
@@ -79,6 +89,7 @@
 
     suspend fun admit(demand: DispatchRequest): AdmissionClient.Result {
         demands += demand
+        localDecision?.let { return AdmissionClient.Result(it, null) }
         if (demands.size <= localRefusals) {
             return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500), null)
         }
@@ -95,7 +106,7 @@
             self = ForwarderIdentity("e", "z"),
             dialect = TestDialect,
             clusterView = clusterView,
-            admit = ::admit,
+            admit = { demand -> admit(demand).also { onAdmitted(clusterView) } },
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
             sender = RequestSender(client, TestDialect, progress, availability, senderClock),
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRequest
 import arrow.core.right
 import io.kotest.core.spec.style.DescribeSpec
@@ -11,6 +12,8 @@
 import io.kotest.matchers.string.shouldStartWith
 import kotlinx.coroutines.delay
 import java.net.Socket
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 class ForwarderSpec :
     DescribeSpec({
@@ -84,6 +87,90 @@
             }
         }
 
+        describe("a request that was admitted before an evacuation began and would be sent after it") {
+            fun evacuateFirstZone(view: ClusterView) = view.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 1))
+
+            // Guards against requests that reach a zone although the evacuation is known, since the leader does not know of it yet.
+            it("is admitted again, for another zone, and charged again since the leader refunds it") {
+                val evacuated = List(2) { ScriptedServer { head, _ -> streamResponse(head, "id: 1\ndata: no\n\n") } }
+                val other = ScriptedServer { head, _ -> streamResponse(head, "id: 1\ndata: yes\n\n") }
+                val demands = mutableListOf<DispatchRequest>()
+                withForwarder(evacuated + other, zones = listOf("z1", "z1", "z2"), demands = demands, onAdmitted = ::evacuateFirstZone) {
+                    call,
+                    _,
+                    ->
+                    call("/charged/1") shouldContain "data: yes"
+                }
+                evacuated.sumOf { it.requests.size } shouldBe 0
+                demands shouldHaveSize 2
+                demands.last().exclude shouldBe setOf("s0", "s1")
+                demands.last().charge shouldBe demands.first().charge
+            }
+        }
+
+        describe("a stream that runs on a server whose zone is evacuated") {
+            it("continues to its end") {
+                lateinit var view: ClusterView
+                val server =
+                    ScriptedServer { head, socket ->
+                        val start = streamResponse(head, "id: 1\ndata: a\n\n", end = "")
+                        socket.getOutputStream().write(start.toByteArray())
+                        view.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 1))
+                        Thread.sleep(50)
+                        val rest = "id: 2\ndata: b\n\n"
+                        "${rest.length.toString(16)}\r\n$rest\r\n0\r\n\r\n"
+                    }
+                withForwarder(listOf(server), zones = listOf("z1"), onAdmitted = { view = it }) { call, _ ->
+                    val answer = call("/stream/1")
+                    answer shouldContain "id: 2\ndata: b\n\n"
+                    answer shouldEndWith "0\r\n\r\n"
+                }
+                server.requests shouldHaveSize 1
+            }
+        }
+
+        describe("a stream that breaks while its zone is evacuated") {
+            it("is resumed in another zone") {
+                lateinit var view: ClusterView
+                val broken =
+                    ScriptedServer { head, socket ->
+                        socket.getOutputStream().write(streamResponse(head, "id: 1\ndata: a\n\n", end = "").toByteArray())
+                        view.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 1))
+                        socket.close()
+                        null
+                    }
+                val evacuated = ScriptedServer { head, _ -> streamResponse(head, "id: 2\ndata: no\n\n") }
+                val rest = ScriptedServer { head, _ -> streamResponse(head, "id: 2\ndata: b\n\n") }
+                withForwarder(listOf(broken, evacuated, rest), zones = listOf("z1", "z1", "z2"), onAdmitted = { view = it }) { call, _ ->
+                    call("/resume/1") shouldContain "id: 2\ndata: b\n\n"
+                }
+                evacuated.requests shouldHaveSize 0
+            }
+        }
+
+        describe("a request for a service whose servers are all evacuated") {
+            val refusal = DispatchDecision.Refuse.evacuated(servers = 2)
+
+            fun retryMillis(answer: String) = answer.substringAfter("retry: ").substringBefore("\r\n").toInt()
+
+            // Guards against clients that return all at once, and against requests that wait for a leader, which would not help them.
+            it("is refused at once as not run, with different retry delays around one second") {
+                withForwarder(emptyList(), localDecision = refusal) { call, _ ->
+                    val startedAt = TimeSource.Monotonic.markNow()
+                    val answers = List(5) { call("/patient/1") }
+                    (startedAt.elapsedNow() < 400.milliseconds * answers.size) shouldBe true
+                    answers.forEach { it shouldStartWith "HTTP/1.1 503" }
+                    val delays = answers.map(::retryMillis)
+                    delays.forEach { (it in 750..1250) shouldBe true }
+                    (delays.toSet().size > 1) shouldBe true
+                }
+            }
+
+            it("is told to return within a third of the time that remains") {
+                withForwarder(emptyList(), localDecision = refusal) { call, _ -> (retryMillis(call("/again/1")) <= 667) shouldBe true }
+            }
+        }
+
         describe("a request of an at-most-once route") {
             it("is retried on another server if the first one did not run it") {
                 val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
@@ -58,6 +58,19 @@
                 answerAfter { clusterView.applyDocument(ConfigurationDocument(2, "text")) }.first shouldBe 100
             }
 
+            it("is answered at once when an evacuation begins, also without a leader") {
+                val (time, reply) = answerAfter { clusterView.applyEvacuations(ClusterView.Evacuations(setOf("z1", "z2"), 4)) }
+                time shouldBe 100
+                reply.evacuations shouldBe setOf("z1", "z2")
+                reply.evacuationRevision shouldBe 4
+            }
+
+            it("is answered at once when the last evacuation ends") {
+                val (time, reply) = answerAfter { clusterView.applyEvacuations(ClusterView.Evacuations(emptySet(), 5)) }
+                time shouldBe 100
+                reply.evacuations shouldBe emptySet()
+            }
+
             it("is answered at once when a new leader is known") {
                 val (time, reply) =
                     answerAfter {
@@ -85,6 +98,15 @@
             }
         }
 
+        describe("the answer to an instance that knows the current evacuations") {
+            it("does not contain them") {
+                val control = Control()
+                control.clusterView.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 4))
+                control.ask(PeerMessage.Watch(entry, evacuationRevision = 3)).evacuations shouldBe setOf("z1")
+                control.ask(PeerMessage.Watch(entry, evacuationRevision = 4)).evacuations shouldBe null
+            }
+        }
+
         describe("the first answer to an instance that has restarted") {
             // Guards against requests to a server that has left, which an instance forgets when it restarts.
             it("contains the servers that signed off or drain, so that late reports cannot bring them back") {
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
@@ -71,7 +71,15 @@
                 delay(minOf(message.waitMillis, 50).milliseconds)
                 val document = ConfigurationDocument(1, "text").takeIf { it.version > message.documentVersion }
                 val quarantine = SuspectReport("quarantined", setOf("a@1", "b@1", "c@1"))
-                return PeerMessage.WatchReply("x", 0, document = document, controlHosts = setOf(controlHost), suspects = listOf(quarantine))
+                return PeerMessage.WatchReply(
+                    incarnation = "x",
+                    fleetRevision = 0,
+                    document = document,
+                    controlHosts = setOf(controlHost),
+                    suspects = listOf(quarantine),
+                    evacuations = setOf("z").takeIf { message.evacuationRevision < 1 },
+                    evacuationRevision = 1,
+                )
             }
 
             suspend fun run(action: suspend Watched.() -> Unit) {
@@ -126,6 +134,24 @@
                 watched.run { becomesTrue { clusterView.active.document != null } shouldBe true }
                 knownBefore shouldBe "quarantined"
             }
+
+            // Guards against requests that an instance sends to a zone under evacuation because it was ready before it knew.
+            it("knows the evacuations before the configuration, and asks for later ones only") {
+                var zonesBefore: Set<String>? = null
+                lateinit var watched: Watched
+                watched =
+                    Watched(
+                        dialect = {
+                            zonesBefore = watched.clusterView.evacuations.zones
+                            ServingConfiguration(1).right()
+                        },
+                    )
+                watched.run {
+                    becomesTrue { clusterView.active.document != null } shouldBe true
+                    becomesTrue { received.any { it is PeerMessage.Watch && it.evacuationRevision == 1L } } shouldBe true
+                }
+                zonesBefore shouldBe setOf("z")
+            }
         }
 
         describe("the report of suspects") {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
@@ -31,5 +31,13 @@
         @CborLabel(3) val servers: Int = 0,
         /** Expected wait for the best server or for tokens of the workspace; null if it is not known. */
         @CborLabel(4) val waitMillis: Long? = null,
-    ) : DispatchDecision
+    ) : DispatchDecision {
+        public companion object {
+            /** Middle of the retry delays; an evacuation usually takes longer, but how much longer is not known. */
+            private const val EVACUATED_RETRY_MILLIS = 1000L
+
+            /** Refuses a request because all [servers] of its service are in availability zones under evacuation. */
+            public fun evacuated(servers: Int): Refuse = Refuse(DispatchRefusal.EVACUATED, EVACUATED_RETRY_MILLIS, servers)
+        }
+    }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -13,6 +13,9 @@
     var configuration = ServingConfiguration(-1)
     var versions: Map<AdapterName, Long> = emptyMap()
 
+    /** Availability zones to whose servers nothing new is sent. */
+    var evacuatedZones: Set<String> = emptySet()
+
     val servers: Collection<DispatchServer> get() = serversById.values
 
     operator fun get(id: String): DispatchServer? = serversById[id]
@@ -41,11 +44,20 @@
         request: DispatchRequest,
         now: Duration,
     ): List<DispatchServer> {
-        val ready = servers.filter { it.report.service == request.service && it.isReady && it.report.id !in request.exclude }
+        val usable = servers.filter { it.report.service == request.service && it.isReady && !isEvacuated(it) }
+        val ready = usable.filter { it.report.id !in request.exclude }
         val reachable = ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
         return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
+    fun isEvacuated(server: DispatchServer): Boolean = server.report.zone in evacuatedZones
+
+    /** Number of ready servers of [service] if all of them are in zones under evacuation, otherwise 0. */
+    fun countIfAllEvacuated(service: String): Int {
+        val ready = servers.filter { it.report.service == service && it.isReady }
+        return if (ready.all(::isEvacuated)) ready.size else 0
+    }
+
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
 
     fun speed(service: String): PrefillSpeed = speeds.getOrPut(service) { PrefillSpeed(options.tokensPerMillisecond) }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
@@ -16,4 +16,7 @@
 
     /** The model or adapter is not loaded and cannot be loaded in time. */
     LOADING,
+
+    /** All servers of the service are in availability zones under evacuation. */
+    EVACUATED,
 }
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -59,6 +59,11 @@
         now: Duration,
     ): Unit = fleet.updateServers(reports, now)
 
+    /** Sends nothing new to servers in the availability zones [zones]; requests that run there are not affected. */
+    public fun setEvacuatedZones(zones: Set<String>) {
+        fleet.evacuatedZones = zones
+    }
+
     /** Engines whose inventory must be queried before orders can be sent to them. */
     public fun enginesToQuery(now: Duration): List<ServerReport> = planner.enginesToQuery(now)
 
@@ -139,7 +144,7 @@
         now: Duration,
     ): Admission {
         val candidates = fleet.candidates(request, now)
-        if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
+        if (candidates.isEmpty()) return refuseWithoutServer(request)
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
         val holders = candidates.filter { it.holdsModel(model) }
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
@@ -149,6 +154,12 @@
         return placeAdapter(request, model, adapter, withMemory, limitWait, now)
     }
 
+    private fun refuseWithoutServer(request: DispatchRequest): Admission {
+        val evacuated = fleet.countIfAllEvacuated(request.service)
+        if (evacuated > 0) return Admission.Decided(DispatchDecision.Refuse.evacuated(evacuated))
+        return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
+    }
+
     private fun placePlain(
         request: DispatchRequest,
         servers: List<DispatchServer>,
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -186,14 +186,17 @@
     fun nextModelOrder(now: Duration): ModelOrder? {
         if (!mayOrder) return null
         val server =
-            fleet.servers.firstOrNull { it.isReady && canOrder(it, now) && it.hasNoModel && fleet.engineOf(it) != null } ?: return null
+            fleet.servers.firstOrNull {
+                it.isReady && !fleet.isEvacuated(it) && canOrder(it, now) && it.hasNoModel && fleet.engineOf(it) != null
+            } ?: return null
         val engine = fleet.engineOf(server) ?: return null
         modelLoadTokens = minOf(1.0, modelLoadTokens + engine.loadsPerSecond * (now - modelLoadTokensAt).toDouble(DurationUnit.SECONDS))
         modelLoadTokensAt = now
         if (modelLoadTokens < 1.0) return null
         modelLoadTokens -= 1.0
         val fitting = engine.models.filter { it.weightsMb <= engine.weightsMb }
-        val model = fitting.minByOrNull { profile -> fleet.servers.count { it.holdsModel(profile.name) } } ?: return null
+        val model =
+            fitting.minByOrNull { profile -> fleet.servers.count { !fleet.isEvacuated(it) && it.holdsModel(profile.name) } } ?: return null
         server.isLoadingModel = true
         return ModelOrder(server.report.id, server.report.address, model.name, checkNotNull(server.ordersAccepted))
     }
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -49,6 +49,8 @@
     val orderPause: Duration = 3000.milliseconds,
     /** True if backend servers reject orders with an outdated fencing token. */
     val fencingChecked: Boolean = false,
+    /** All availability zones, to which an evacuation can apply; empty if any zone may be named. */
+    val zones: Set<String> = emptySet(),
 ) {
     /** True on a control instance, which holds a replica and directs the other instances. */
     public val isControl: Boolean get() = control != null
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -52,6 +52,7 @@
                 retryReserve = root.double("retryReserve", 0.0..MAX_RETRY_RESERVE, defaults.retryReserve),
                 orderPause = readDuration(root, "orderPause", defaults.orderPause),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
+                zones = root.names("zones"),
             )
         root.reportUnknownKeys()
         findings.check(settings.seeds.isNotEmpty(), root.placeOf("seeds")) { "must name at least one control instance" }
--- a/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
@@ -26,6 +26,14 @@
         return emptyList()
     }
 
+    /** The items of an optional list of strings, or the keys of an optional object. */
+    fun names(key: String): Set<String> =
+        when (val value = member(key)) {
+            null -> emptySet()
+            is LocatedValue.Object -> value.members.keys
+            else -> strings(key).toSet()
+        }
+
     fun bool(
         key: String,
         default: Boolean,
--- a/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
+++ b/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
@@ -27,6 +27,14 @@
                 settings.isControl shouldBe false
             }
 
+            it("reads the zones from the keys of an object or from a list; without them any zone is known") {
+                fun zones(json: String) = read(validSettings.replace("\"clients\"", "\"zones\": $json, \"clients\"")).getOrNull()!!.zones
+                zones("""{"zone-a": "r1", "zone-b": "r2"}""") shouldBe setOf("zone-a", "zone-b")
+                zones("""["zone-a"]""") shouldBe setOf("zone-a")
+                zones("null") shouldBe emptySet()
+                read(validSettings).getOrNull()!!.zones shouldBe emptySet()
+            }
+
             it("requires clients or control") {
                 findings(validSettings.replace("\"clients\": \"10.0.0.1:80\", ", "")) shouldBe listOf("needs 'clients' or 'control'")
             }
--- a/state/src/main/kotlin/anvilslip/state/Command.kt
+++ b/state/src/main/kotlin/anvilslip/state/Command.kt
@@ -108,6 +108,20 @@
         val removed: Set<String>,
     ) : Command
 
+    /**
+     * Starts the evacuation of the availability zone [zone], or ends it. Does nothing if the zone is in that state already.
+     *
+     * @property expectedRevision [ReplicatedState.evacuationRevision] that the sender knew when the operator called. A command that
+     *   another change has overtaken since is not applied, since it may be a late copy of a call that was repeated elsewhere.
+     */
+    @Serializable
+    @SerialName("set_evacuation")
+    public data class SetEvacuation(
+        val zone: String,
+        val isActive: Boolean,
+        val expectedRevision: Long? = null,
+    ) : Command
+
     /** Changes nothing. Once it is applied, the local state includes every command that was committed before it was proposed. */
     @Serializable
     @SerialName("confirm")
--- a/state/src/main/kotlin/anvilslip/state/Outcome.kt
+++ b/state/src/main/kotlin/anvilslip/state/Outcome.kt
@@ -13,7 +13,7 @@
         val revision: Long,
     ) : Outcome
 
-    /** The configuration is at [revision] and not at the expected one, so the change was not applied. */
+    /** The changed part of the state is at [revision] and not at the expected one, so the change was not applied. */
     @Serializable
     @SerialName("conflict")
     public data class Conflict(
--- a/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicatedState.kt
@@ -25,6 +25,10 @@
     val namedRevision: Long = 0,
     /** Incarnations of the servers that crashed under requests which must not be sent any more, by the key of the requests. */
     val quarantines: SerializablePersistentMap<String, Set<String>> = persistentMapOf(),
+    /** Availability zones under evacuation. */
+    val evacuations: Set<String> = emptySet(),
+    /** Increases with each change of [evacuations]. */
+    val evacuationRevision: Long = 0,
 ) {
     /** Approximate size in bytes of the largest part of the state, the document. */
     internal val contentBytes: Int get() = document?.text?.length ?: 0
@@ -46,6 +50,7 @@
             is Command.ReplaceDocument -> replaceDocument(command.document)
             is Command.NameVersion -> nameVersion(command)
             is Command.UpdateQuarantines -> updateQuarantines(command)
+            is Command.SetEvacuation -> setEvacuation(command)
             is Command.ReadBarrier -> Transition(this, Outcome.Done)
         }
 
@@ -68,6 +73,14 @@
         return Transition(copy(namedVersions = namedVersions.put(name, command.version), namedRevision = namedRevision + 1), Outcome.Done)
     }
 
+    private fun setEvacuation(command: Command.SetEvacuation): Transition {
+        val next = if (command.isActive) evacuations + command.zone else evacuations - command.zone
+        if (next == evacuations) return Transition(this, Outcome.Done)
+        val expected = command.expectedRevision
+        if (expected != null && expected != evacuationRevision) return Transition(this, Outcome.Conflict(evacuationRevision))
+        return Transition(copy(evacuations = next, evacuationRevision = evacuationRevision + 1), Outcome.Done)
+    }
+
     private fun configure(command: Command.Configure): Transition {
         outcomes[command.requestId]?.let { return Transition(this, it) }
         val expected = command.expectedRevision
--- a/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
+++ b/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
@@ -132,10 +132,16 @@
         val change = Change.PutWorkspace(Workspace("w${random.nextInt(5)}", 1.0 + random.nextInt(100), 10))
         val command = Command.Configure(change, requestId)
         proposedAt[core.term to core.lastIndex + 1] = requestId
-        execute(host, core.propose(listOf(Payload.Apply(command, now.inWholeMilliseconds)), localTime(host)))
+        propose(host, command)
         return true
     }
 
+    /** Appends [command] to the log of the leader [host]. */
+    fun propose(
+        host: Host,
+        command: Command,
+    ) = execute(host, host.core!!.propose(listOf(Payload.Apply(command, now.inWholeMilliseconds)), localTime(host)))
+
     fun run(
         time: Duration,
         step: () -> Unit = {},
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -242,6 +242,7 @@
         @CborLabel(8) val suspectRevision: Long = 0,
         /** Latest term whose leader the sender knows; the answer does not wait if the receiver knows a later leader. */
         @CborLabel(9) val term: Long = Long.MAX_VALUE,
+        @CborLabel(20) val evacuationRevision: Long = -1,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -265,6 +266,9 @@
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
         @CborLabel(13) val suspectRevision: Long = 0,
+        /** Availability zones under evacuation. */
+        @CborLabel(20) val evacuations: Set<String>? = null,
+        @CborLabel(21) val evacuationRevision: Long = -1,
     ) : PeerMessage {
         override val contentBytes: Int get() = document?.text?.length ?: 0
     }
