--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -56,10 +56,10 @@
         request: DispatchRequest,
         now: Duration,
     ): DispatchDecision {
-        val candidates =
-            clusterView.servers().filter {
-                it.service == request.service && it.phase == ServerPhase.READY && it.id !in request.exclude
-            }
+        val ready = clusterView.servers().filter { it.service == request.service && it.phase == ServerPhase.READY }
+        val available = ready.filterNot(clusterView::isEvacuated)
+        if (available.isEmpty() && ready.isNotEmpty()) return DispatchDecision.Refuse.evacuated(ready.size)
+        val candidates = available.filter { it.id !in request.exclude }
         if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, request)
         val eligible = candidates.filter { canServe(it, request) }
         val best = chooseOfTwo(eligible, request) ?: return refuse(DispatchRefusal.LOADING, request)
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -84,6 +84,7 @@
         val active = clusterView.active
         return watch.incarnation != incarnation || active.versionsRevision > watch.namedRevision ||
             hasDocumentFor(watch) || clusterView.suspects.revision > watch.suspectRevision ||
+            clusterView.evacuations.revision > watch.evacuationRevision ||
             clusterView.hasDirectFleetChangeSince(watch.fleetRevision) || knowsLaterLeader(watch.term)
     }
 
@@ -104,6 +105,7 @@
         val document = active.document?.takeIf { it.version > watch.documentVersion }
         val controls = controls()
         val knowsControls = !isNewIncarnation && watch.controlRevision == controls.revision
+        val evacuations = clusterView.evacuations
         val view = replicaView()
         return PeerMessage.WatchReply(
             incarnation = incarnation,
@@ -123,6 +125,8 @@
             suspects = suspects.reports,
             suspectRevision = suspects.revision,
             zone = zone?.takeIf { isNewIncarnation },
+            evacuations = evacuations.zones.takeIf { evacuations.revision > watch.evacuationRevision },
+            evacuationRevision = evacuations.revision,
         )
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -203,6 +203,7 @@
             documentDelivery = delivery,
             announcedVersion = position.announcedVersion,
             controlRevision = position.controlRevision,
+            evacuationRevision = clusterView.evacuations.revision,
         )
     }
 
@@ -213,6 +214,7 @@
         reply.zone?.let { clusterView.zones.record(control, it) }
         // Before the document, with which an instance that has just started becomes ready.
         clusterView.suspects.merge(reply.suspects)
+        reply.evacuations?.let { clusterView.applyEvacuations(ClusterView.Evacuations(it, reply.evacuationRevision)) }
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
         reply.document?.let(clusterView::applyDocument)
--- a/policy/src/main/kotlin/anvilslip/policy/LocalLoads.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LocalLoads.kt
@@ -141,7 +141,7 @@
         /** The engines of one service differ in speed by a factor of up to 2.4. */
         const val MAX_SPEED_RATIO = 2.5
 
-        /** A request in progress slows the start of the next by less than a request that has not begun; not measured. */
+        /** A request in progress slows the start of the next by less. */
         const val ANSWERING_SHARE = 0.1
     }
 }
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -51,6 +51,8 @@
     val fencingChecked: Boolean = false,
     /** Processing capacity relative to the other entry instances; clients are distributed by it. */
     val capacity: Double = 1.0,
+    /** All availability zones, to which an evacuation can apply; empty if any zone may be named. */
+    val zones: Set<String> = emptySet(),
 ) {
     /** True on a control instance, which holds a replica and directs the other instances. */
     public val isControl: Boolean get() = control != null
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -53,6 +53,7 @@
                 orderPause = readDuration(root, "orderPause", defaults.orderPause),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
                 capacity = root.double("capacity", CAPACITIES, defaults.capacity),
+                zones = root.names("zones"),
             )
         root.reportUnknownKeys()
         findings.check(settings.seeds.isNotEmpty(), root.placeOf("seeds")) { "must name at least one control instance" }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -248,6 +248,7 @@
         @CborLabel(12) val announcedVersion: Long = -1,
         /** Revision of the receiver's list of control instances that the sender knows; refers to [incarnation]. */
         @CborLabel(13) val controlRevision: Long = 0,
+        @CborLabel(11) val evacuationRevision: Long = -1,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -278,6 +279,9 @@
         /** Availability zone of the sender, in the first answer of its incarnation. */
         @CborLabel(21) val zone: String? = null,
         @CborLabel(22) val controlRevision: Long = 0,
+        /** Availability zones under evacuation. */
+        @CborLabel(17) val evacuations: Set<String>? = null,
+        @CborLabel(18) val evacuationRevision: Long = -1,
     ) : PeerMessage {
         override val contentBytes: Int get() = compressedDocument?.sizeBytes ?: document?.text?.length ?: 0
     }
