--- a/gateway/src/test/kotlin/anvilslip/gateway/ZoneEvacuationSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ZoneEvacuationSpec.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.Metrics
 import anvilslip.kernel.SystemClock
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
@@ -22,6 +23,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -55,6 +57,15 @@
                 changes shouldContainExactly listOf("z1" to true, "z2" to true, "z3" to true, "z1" to false)
             }
 
+            it("shows each zone in the gauge") {
+                val metrics = Metrics()
+                val view = view(onChange = GatewayMetrics(metrics)::recordEvacuation)
+                view.evacuate(1, "z1", "z2")
+                view.evacuate(2, "z2")
+                metrics.scrape() shouldContain "anvilslip_zone_evacuated{zone=\"z1\"} 0.0"
+                metrics.scrape() shouldContain "anvilslip_zone_evacuated{zone=\"z2\"} 1.0"
+            }
+
             it("signals a change once") {
                 val view = view()
                 view.evacuate(1, "z1")
