Load delegates: place adapters while control instances are unreachable

While no majority of the control instances can be reached, no leader orders loads, so requests for adapters without a known holder were refused although engines had free places. Entry instances that are cut off now order loads themselves, each for the engines for which rendezvous hashing makes it the delegate. A leader that is refused with 412 raises its generation.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -3,6 +3,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.policy.DispatchDecision
+import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.wire.PeerError
 import anvilslip.wire.PeerMessage
@@ -13,6 +14,7 @@
  * Asks the leader to admit requests, and decides locally with [LocalDispatch] while no leader answers.
  *
  * @param withdraw reports that the request with this number has ended, to a leader that may have admitted it without an answer in time
+ * @param delegates asks load delegates for adapters while cut off from control; null if they are not used
  */
 public class AdmissionClient(
     private val peers: PeerCaller,
@@ -20,6 +22,7 @@
     private val local: LocalDispatch,
     private val clock: Clock,
     private val withdraw: (Long) -> Unit,
+    private val delegates: DelegateClient? = null,
 ) {
     /** A decision, with the term of the leader that made it. */
     public data class Result(
@@ -38,15 +41,28 @@
 
     /** Returns the leader's decision on [request], or a local one if the leader cannot be reached. */
     public suspend fun admit(request: DispatchRequest): Result {
-        val leader = clusterView.leader.host.takeIf { clock.elapsed() >= leaderAvoidedUntil }
+        val receivedAt = clock.elapsed()
+        val leader = clusterView.leader.host?.takeIf { clock.elapsed() >= leaderAvoidedUntil && delegates?.isSilent(it) != true }
         val answer = leader?.let { askLeader(it, request) }
         logLeaderAvailability(answer != null)
         if (answer != null) return answer
-        val decision = local.decide(request, clock.elapsed())
+        delegates?.onLeaderSilent()
+        val decision = decideLocally(request, receivedAt)
         if (leader != null && decision is DispatchDecision.Refuse) withdraw(request.number)
         return Result(decision, null)
     }
 
+    /** Decides on [request] without a leader; asks a load delegate first if no known server holds the adapter. */
+    private suspend fun decideLocally(
+        request: DispatchRequest,
+        receivedAt: Duration,
+    ): DispatchDecision {
+        val decision = local.decide(request, clock.elapsed())
+        if (delegates == null || decision !is DispatchDecision.Refuse || decision.reason != DispatchRefusal.LOADING) return decision
+        val timeout = request.targetMillis.milliseconds * DELEGATE_SHARE - (clock.elapsed() - receivedAt)
+        return if (delegates.findHolder(request, timeout)) local.decide(request, clock.elapsed()) else decision
+    }
+
     private suspend fun askLeader(
         knownLeader: String,
         request: DispatchRequest,
@@ -88,6 +104,9 @@
         /** How long the leader is not asked after it failed to answer. */
         val LEADER_AVOIDANCE = 300.milliseconds
 
+        /** Share of a request's target within which a leader, then a load delegate, must have provided a server. */
+        const val DELEGATE_SHARE = 0.5
+
         /** Instances asked for one request: the known leader, and the one that it redirects to. */
         const val MAX_ATTEMPTS = 2
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,8 +2,10 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.ContactClock
 import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
+import anvilslip.policy.EntryHosts
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ReportVersion
 import anvilslip.policy.ServerReport
@@ -51,7 +53,9 @@
 
     private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
+    private val contact = ContactClock()
     private val entries = EntryCount()
+    private val reportedEntries = EntryHosts()
     private val changes = MutableStateFlow(0L)
     private val activeRef = AtomicReference(ActiveConfiguration())
     private val leaderRef = AtomicReference(Leader(null, 0))
@@ -68,6 +72,9 @@
     /** Number of entry instances among which the limits of workspaces are divided; null until a control instance has reported it. */
     public val entryCount: Int? get() = synchronized(entries) { entries.current(clock.elapsed()) }
 
+    /** Hosts of the entry instances in use, as last reported by the control instances. */
+    public val entryHosts: Set<String> get() = synchronized(reportedEntries) { reportedEntries.all }
+
     /** The configuration that this instance uses. */
     public val active: ActiveConfiguration get() = activeRef.get()
 
@@ -140,6 +147,22 @@
             if (current != previous) log.info("entry_count_changed", "control" to control, "count" to current, "previous" to previous)
         }
 
+    /** Records an answer of [control], which reports [hosts] as entry instances in use, or no change of them if they are null. */
+    public fun observeEntryHosts(
+        control: String,
+        hosts: List<String>?,
+    ) {
+        synchronized(fleet) { contact.recordAnswer(clock.elapsed()) }
+        synchronized(reportedEntries) {
+            val previous = reportedEntries.all
+            reportedEntries.record(control, hosts, clock.elapsed())
+            val current = reportedEntries.all
+            if (current != previous) {
+                log.info("entry_hosts_changed", "control" to control, "added" to (current - previous), "removed" to (previous - current))
+            }
+        }
+    }
+
     /** Records that a control instance reports [hosts] as control instances. */
     public fun recordControlHosts(hosts: Set<String>): Unit = updateControls { it.record(hosts, clock.elapsed()) }
 
@@ -162,7 +185,7 @@
         report: ServerReport,
         direct: Boolean,
     ): FleetTable.Change {
-        val change = synchronized(fleet) { fleet.applyReport(report, direct, clock.elapsed()) }
+        val change = synchronized(fleet) { fleet.applyReport(report, direct, fleetTime()) }
         publishServerChange(report, change, direct)
         return change
     }
@@ -175,14 +198,14 @@
         val change =
             synchronized(fleet) {
                 val start = startedAtMillis ?: fleet[server]?.startedAtMillis ?: clock.now().toEpochMilliseconds()
-                fleet.deregister(server, start, clock.elapsed())
+                fleet.deregister(server, start, fleetTime())
             }
         if (change == FleetTable.Change.CHANGED) log.info("server_signed_off", "server" to server)
         if (change == FleetTable.Change.CHANGED) signalChange()
     }
 
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
-    public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(clock.elapsed(), serverTimeout) }
+    public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
 
     /** Returns the last report of backend server [id], or null if it is not known. */
     public fun server(id: String): ServerReport? = synchronized(fleet) { fleet[id] }
@@ -193,7 +216,7 @@
         directOnly: Boolean,
     ): FleetUpdate =
         synchronized(fleet) {
-            fleet.evictExpired(clock.elapsed())
+            fleet.evictExpired(fleetTime())
             FleetUpdate(fleet.changesSince(revision, directOnly), fleet.refreshedSince(revision), fleet.revision)
         }
 
@@ -201,12 +224,15 @@
     public fun refreshServer(
         id: String,
         version: ReportVersion,
-    ): Unit = synchronized(fleet) { fleet.refresh(id, version, clock.elapsed()) }
+    ): Unit = synchronized(fleet) { fleet.refresh(id, version, fleetTime()) }
 
     /** True if a server that reports to this instance has changed after [revision]. */
     public fun hasDirectFleetChangeSince(revision: Long): Boolean =
         synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
 
+    /** The time by which the reports of servers age. Differs from that of [clock] only where [observeEntryHosts] is used. */
+    private fun fleetTime(): Duration = contact.time(clock.elapsed())
+
     private fun publishServerChange(
         report: ServerReport,
         change: FleetTable.Change,
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -49,11 +49,15 @@
     private val requestMetrics = GatewayMetrics(metrics)
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
-    private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
+    private val usesDelegates = settings.clients != null && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
+    private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, usesDelegates, ::self))
     private val bodies = BodyBudget()
     private var frontend: HttpServer? = null
     private var forwarder: Forwarder? = null
 
+    @Volatile
+    private var loadDelegate: LoadDelegate? = null
+
     @Volatile
     private var isStopping = false
 
@@ -103,8 +107,12 @@
             EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady, clusterView.entryCount ?: 0)
         }
 
-    private fun answer(message: PeerMessage): PeerMessage =
-        if (message is PeerMessage.Ping) PeerMessage.Ack else PeerMessage.Failed("not understood here")
+    private suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is PeerMessage.Ping -> PeerMessage.Ack
+            is PeerMessage.DelegateLoad -> loadDelegate?.load(message) ?: PeerMessage.Failed("not a load delegate")
+            else -> PeerMessage.Failed("not understood here")
+        }
 
     private fun network(): PeerNetwork =
         PeerNetwork(
@@ -190,7 +198,9 @@
     private fun installEntry(address: Address) {
         val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
         val local = LocalDispatch(clusterView, progress::countRunning)
-        val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
+        val delegates = if (usesDelegates) installDelegates(local, progress) else null
+        val withdraw = { number: Long -> progress.recordStep(number, RequestStep.ENDED) }
+        val admissionClient = AdmissionClient(network::call, clusterView, local, clock, withdraw, delegates)
         val availability = ServerAvailability(clusterView, clock)
         val sender = RequestSender(client, dialects.requests, progress, availability, clock)
         val crashDetector = kernel.install(CrashDetector(client, clusterView))
@@ -219,6 +229,35 @@
         }
     }
 
+    private fun installDelegates(
+        local: LocalDispatch,
+        progress: ProgressReporter,
+    ): DelegateClient {
+        val reachability = kernel.install(ControlReachability(network::call, clusterView, clock))
+        val engineClient = dialects.engineClient(client, settings.instance)
+        val delegate = kernel.install(LoadDelegate(settings.host, clusterView, reachability, engineClient, DispatchOptions(), clock))
+        loadDelegate = delegate
+        val connections =
+            object : PeerConnections {
+                override fun connect(peer: String) = network.connectTo(peer, PeerAddress(peer, settings.peerPort))
+
+                override fun disconnect(peer: String) = network.disconnect(peer)
+            }
+        return kernel.install(
+            DelegateClient(
+                host = settings.host,
+                peers = network::call,
+                connections = connections,
+                clusterView = clusterView,
+                reachability = reachability,
+                delegate = delegate,
+                local = local,
+                countRunning = progress::countRunning,
+                clock = clock,
+            ),
+        )
+    }
+
     private fun retryBudget() = RetryBudget(settings.retryWindow, settings.retryShare * BUDGET_SAFETY, ::retryReserve)
 
     /** This instance's part of the retry reserve; nothing until it is known among how many the reserve is divided. */
@@ -255,5 +294,8 @@
 
         /** Instances may briefly differ in the number of entry instances that they know, so each uses less than its share of the budget. */
         const val BUDGET_SAFETY = 0.7
+
+        /** Load delegates are used where the loss of this many control instances at once is expected. */
+        const val MIN_DELEGATE_LOSSES = 2
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -11,6 +11,7 @@
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.Dispatcher
+import anvilslip.policy.LeaderFencing
 import anvilslip.policy.LoadOrder
 import anvilslip.policy.ModelOrder
 import anvilslip.policy.ServerReport
@@ -50,6 +51,7 @@
         val electedAt: Duration,
     ) {
         var canSendOrders = false
+        val fencing = LeaderFencing(number)
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
         var fleetRevision = -1L
@@ -294,8 +296,10 @@
     ): OrderReply {
         val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
+        val token = term.fencing.tokenFor(order.server) ?: return OrderReply.REFUSED
         // The engine may have received an order whose exchange failed.
-        val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, term.number) } ?: OrderReply.UNANSWERED
+        val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
+        if (reply == OrderReply.FENCED) term.fencing.recordRefused(order.server, token)
         log.info(
             if (order.isLoad) "load_ordered" else "unload_ordered",
             "server" to order.server,
@@ -303,7 +307,7 @@
             "adapter" to order.adapter,
             "version" to order.version,
             "expected_orders" to order.expectedOrders,
-            "fencing" to term.number,
+            "fencing" to token.value,
             "reply" to reply,
         )
         return reply
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -98,9 +98,19 @@
             entryCount = withEntries { inUseCount(it) },
             suspects = suspects.reports,
             suspectRevision = suspects.revision,
+            entryHosts = changedEntryHosts(watch, isNewIncarnation),
         )
     }
 
+    /** The hosts of the entry instances in use if the sender of [watch] asks for them and lacks a change. */
+    private fun changedEntryHosts(
+        watch: PeerMessage.Watch,
+        isNewIncarnation: Boolean,
+    ): List<String>? {
+        val known = watch.entryHostsHash ?: return null
+        return withEntries { hostsInUse(it) }.takeIf { isNewIncarnation || it.hashCode() != known }
+    }
+
     private fun controlHosts(): Set<String> {
         val now = clock.elapsed()
         val recent = controlsSeenAt.filterValues { now - it < CONTROL_RETENTION }.keys
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -27,6 +27,8 @@
     private val host: String,
     private val peerPort: Int,
     private val clock: Clock,
+    /** Whether this instance needs the hosts of the other entry instances. */
+    private val needsEntryHosts: Boolean = false,
     /** Returns the state of this entry instance to report; null on a control instance. */
     private val entry: () -> EntryInstance?,
 ) : Service {
@@ -37,10 +39,12 @@
         val suspectRevision: Long = 0,
         /** True if the control instance has been told of all suspects known here; later ones are reported at once. */
         val hasAllSuspects: Boolean = false,
+        val entryHostsHash: Int = 0,
     ) {
         fun after(reply: PeerMessage.WatchReply): Position {
             val wasTold = !hasAllSuspects || reply.incarnation == incarnation
-            return Position(reply.incarnation, reply.fleetRevision, reply.suspectRevision, hasAllSuspects = wasTold)
+            val hostsHash = reply.entryHosts?.hashCode() ?: entryHostsHash
+            return Position(reply.incarnation, reply.fleetRevision, reply.suspectRevision, wasTold, hostsHash)
         }
     }
 
@@ -129,6 +133,7 @@
             suspects = if (position.hasAllSuspects) emptyList() else clusterView.suspects.changesSince(0).reports,
             suspectRevision = position.suspectRevision,
             term = clusterView.leader.term,
+            entryHostsHash = position.entryHostsHash.takeIf { needsEntryHosts },
         )
     }
 
@@ -145,6 +150,7 @@
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.recordControlHosts(reply.controlHosts)
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
+        if (needsEntryHosts) clusterView.observeEntryHosts(control, reply.entryHosts)
     }
 
     public companion object {
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -7,6 +7,8 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.EngineInventory
 import anvilslip.policy.EngineProfile
+import anvilslip.policy.FencingToken
+import anvilslip.policy.LoadedModel
 import anvilslip.policy.ModelProfile
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
@@ -146,5 +148,36 @@
                 ordersSent(scripted, 2) shouldBe true
                 leader.stop()
             }
+
+            // Guards against a leader that repeats an order with a refused token, and against one that delegates of its term lock out.
+            it("raises its generation after an engine has refused its fencing token") {
+                val replies = arrayOf(OrderReply.FENCED, OrderReply.FENCED, OrderReply.TAKEN)
+                val scripted = ScriptedEngineClient(*replies, inventory = EngineInventory(0, emptyList()))
+                val leader = leaderOfEngine(scripted) { leading }
+                leader.start()
+                ordersSent(scripted, 3) shouldBe true
+                leader.stop()
+                scripted.sentTokens shouldBe (0..2).map { FencingToken.ofLeader(3, it).value }
+            }
+
+            // Guards against a leader that loads again what delegates have loaded while no leader was reachable.
+            it("learns from the state of the engines which adapters delegates have loaded before its term") {
+                val held = listOf(LoadedModel("m", mapOf("x" to 1L)))
+                val scripted = ScriptedEngineClient(inventory = EngineInventory(2, held))
+                val leader = leaderOfEngine(scripted) { leading }
+                leader.start()
+                val request = request(1).copy(service = "llm", model = "m", adapter = "x")
+                val decision =
+                    withTimeoutOrNull(8.seconds) {
+                        while (true) {
+                            val reply = leader.admit(request).shouldBeInstanceOf<PeerMessage.AdmitReply>()
+                            if (reply.decision is DispatchDecision.Send) return@withTimeoutOrNull reply.decision
+                            delay(10.milliseconds)
+                        }
+                    }
+                leader.stop()
+                decision.shouldBeInstanceOf<DispatchDecision.Send>()
+                scripted.sentOrders.size shouldBe 0
+            }
         }
     })
--- a/gateway/src/test/kotlin/anvilslip/gateway/ScriptedEngineClient.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ScriptedEngineClient.kt
@@ -9,6 +9,7 @@
 ) : EngineClient {
     val replies = ArrayDeque(replies.toList())
     val sentOrders = ArrayList<EngineOrder>()
+    val sentTokens = ArrayList<Long>()
 
     override suspend fun queryInventory(
         server: String,
@@ -19,6 +20,7 @@
         order: EngineOrder,
         fencingToken: Long,
     ): OrderReply {
+        sentTokens += fencingToken
         sentOrders += order
         return replies.removeFirst()
     }
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
@@ -85,6 +85,23 @@
             }
         }
 
+        describe("the hosts of the entry instances in use") {
+            // Guards against hosts in every answer, and against answers that change for deployments without load delegates.
+            it("are contained only in answers to instances that ask for them and lack a change") {
+                val clock = TestClock(10.seconds)
+                val view = ClusterView({ ServingConfiguration(1).right() }, clock, emptySet(), heartbeat = 1.seconds)
+                val responder = WatchResponder("c", "x", view, { ReplicaView(ReplicaId("c", "x")) }, clock)
+                clock.time = 20.seconds
+                val watch = PeerMessage.Watch(entry, incarnation = "x")
+
+                suspend fun hosts(known: Int?) =
+                    (responder.respond("e", watch.copy(entryHostsHash = known)) as PeerMessage.WatchReply).entryHosts
+                hosts(null) shouldBe null
+                hosts(0) shouldBe listOf("e")
+                hosts(listOf("e").hashCode()) shouldBe null
+            }
+        }
+
         describe("the first answer to an instance that has restarted") {
             // Guards against requests to a server that has left, which an instance forgets when it restarts.
             it("contains the servers that signed off or drain, so that late reports cannot bring them back") {
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
@@ -52,7 +52,9 @@
             private val control = network(controlHost)
             private val entry = network(entryHost)
             private val watch =
-                WatchService(entry, clusterView, entryHost, port, SystemClock) { EntryInstance(entryHost, "e:80", "z", "r", ready = true) }
+                WatchService(entry, clusterView, entryHost, port, SystemClock, needsEntryHosts = true) {
+                    EntryInstance(entryHost, "e:80", "z", "r", ready = true)
+                }
 
             private fun network(host: String) =
                 PeerNetwork(
@@ -71,7 +73,19 @@
                 delay(minOf(message.waitMillis, 50).milliseconds)
                 val document = ConfigurationDocument(1, "text").takeIf { it.version > message.documentVersion }
                 val quarantine = SuspectReport("quarantined", setOf("a@1", "b@1", "c@1"))
-                return PeerMessage.WatchReply("x", 0, document = document, controlHosts = setOf(controlHost), suspects = listOf(quarantine))
+                val hosts = listOf(entryHost).takeIf { it.hashCode() != message.entryHostsHash }
+                val controls = setOf(controlHost)
+                return PeerMessage.WatchReply(
+                    "x",
+                    0,
+                    emptyList(),
+                    document,
+                    null,
+                    -1,
+                    controls,
+                    suspects = listOf(quarantine),
+                    entryHosts = hosts,
+                )
             }
 
             suspend fun run(action: suspend Watched.() -> Unit) {
@@ -128,6 +142,17 @@
             }
         }
 
+        describe("an instance that needs the hosts of the others") {
+            // Guards against delegates that are unknown, and against hosts that are sent with every answer.
+            it("learns them once and tells the control instance which it knows") {
+                Watched().run {
+                    val known = listOf(entryHost).hashCode()
+                    becomesTrue { received.any { it is PeerMessage.Watch && it.entryHostsHash == known } } shouldBe true
+                    clusterView.entryHosts shouldBe setOf(entryHost)
+                }
+            }
+        }
+
         describe("the report of suspects") {
             it("goes on after an error") {
                 Watched(clock = FailingClock("reportSuspects")).run {
--- a/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryTracker.kt
@@ -42,8 +42,25 @@
         return if (known == 0) 0.0 else recent.size.toDouble() / known
     }
 
-    private fun countInUse(now: Duration): Int =
-        reports.values.count { isRecent(it, now) || (it.entry.ready && now - it.receivedAt < RETENTION) }
+    /**
+     * Returns the hosts of the entry instances in use in ascending order, at most [MAX_HOSTS] of them; empty while this instance has
+     * not run long enough to have heard of all.
+     */
+    public fun hostsInUse(now: Duration): List<String> {
+        if (now - startedAt < REPORT_TIMEOUT) return emptyList()
+        return reports.values
+            .filter { isInUse(it, now) }
+            .map { it.entry.host }
+            .sorted()
+            .take(MAX_HOSTS)
+    }
+
+    private fun countInUse(now: Duration): Int = reports.values.count { isInUse(it, now) }
+
+    private fun isInUse(
+        report: Report,
+        now: Duration,
+    ): Boolean = isRecent(report, now) || (report.entry.ready && now - report.receivedAt < RETENTION)
 
     private fun isRecent(
         report: Report,
@@ -51,6 +68,9 @@
     ): Boolean = now - report.receivedAt < REPORT_TIMEOUT
 
     private companion object {
+        /** Bounds the answers that contain the hosts, at about 16 bytes each. */
+        const val MAX_HOSTS = 512
+
         /** Entry instances report at least once a second. */
         val REPORT_TIMEOUT = 2200.milliseconds
         val RETENTION = 60.seconds
--- a/policy/src/test/kotlin/anvilslip/policy/EntryTrackerSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/EntryTrackerSpec.kt
@@ -39,6 +39,16 @@
             }
         }
 
+        describe("the hosts of the entry instances in use") {
+            // Guards against delegates that are chosen from an incomplete list.
+            it("are those that are counted, in ascending order") {
+                val tracker = tracker(entry("b"), entry("a"), entry("c", ready = false))
+                tracker.hostsInUse(3.seconds) shouldBe listOf("a", "b", "c")
+                tracker.hostsInUse(6.seconds) shouldBe listOf("a", "b")
+                tracker.hostsInUse(2.seconds) shouldBe emptyList()
+            }
+        }
+
         describe("the share of reachable entry instances") {
             it("falls once an instance in use has not reported for a while") {
                 val tracker = tracker(entry("a"), entry("b"), entry("c"), entry("d"))
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -242,6 +242,8 @@
         @CborLabel(8) val suspectRevision: Long = 0,
         /** Latest term whose leader the sender knows; the answer does not wait if the receiver knows a later leader. */
         @CborLabel(9) val term: Long = Long.MAX_VALUE,
+        /** Hash of the entry hosts that the receiver has sent; null if the sender does not need them. */
+        @CborLabel(30) val entryHostsHash: Int? = null,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -265,6 +267,8 @@
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
         @CborLabel(13) val suspectRevision: Long = 0,
+        /** Hosts of the entry instances in use; null if they have not changed or are not asked for. */
+        @CborLabel(15) val entryHosts: List<String>? = null,
     ) : PeerMessage {
         override val contentBytes: Int get() = document?.text?.length ?: 0
     }
@@ -304,6 +308,28 @@
         @CborLabel(3) val running: List<RunningRequest> = emptyList(),
     ) : PeerMessage
 
+    /** Asks the load delegate of engine [server] to load an adapter, of at least [version] if that is not null. */
+    @Serializable
+    @SerialName("delegate_load")
+    public data class DelegateLoad(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val server: String,
+        @CborLabel(3) val model: String,
+        @CborLabel(4) val adapter: String,
+        @CborLabel(5) val version: Long? = null,
+    ) : PeerMessage
+
+    /**
+     * Answers [DelegateLoad]. [loaded] if the adapter is loaded or being loaded; it can be used after [readyInMillis]. Otherwise
+     * [readyInMillis] is the time after which the load can be asked for again, 0 if it cannot be carried out.
+     */
+    @Serializable
+    @SerialName("delegate_load_reply")
+    public data class DelegateLoadReply(
+        @CborLabel(1) val loaded: Boolean,
+        @CborLabel(2) val readyInMillis: Long = 0,
+    ) : PeerMessage
+
     /** Asks the leader for the latest configuration document. Linearizable: the answer was the latest at some time after the request. */
     @Serializable
     @SerialName("read_document")
