--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchResponder.kt
@@ -127,9 +127,19 @@
             zone = zone?.takeIf { isNewIncarnation },
             evacuations = evacuations.zones.takeIf { evacuations.revision > watch.evacuationRevision },
             evacuationRevision = evacuations.revision,
+            entryHosts = changedEntryHosts(watch, isNewIncarnation),
         )
     }
 
+    /** The hosts of the entry instances in use if the sender of [watch] asks for them and lacks a change. */
+    private fun changedEntryHosts(
+        watch: PeerMessage.Watch,
+        isNewIncarnation: Boolean,
+    ): List<String>? {
+        val known = watch.entryHostsHash ?: return null
+        return withEntries { hostsInUse(it) }.takeIf { isNewIncarnation || it.hashCode() != known }
+    }
+
     /** Compresses [document] once for all instances that it is sent to. */
     @Synchronized
     private fun compress(document: ConfigurationDocument): CompressedDocument {
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -36,6 +36,8 @@
     private val peerPort: Int,
     private val clock: Clock,
     context: CoroutineContext = Dispatchers.Default,
+    /** Whether this instance needs the hosts of the other entry instances. */
+    private val needsEntryHosts: Boolean = false,
     /** Returns the state of this entry instance to report; null on a control instance. */
     private val entry: () -> EntryInstance?,
 ) : Service {
@@ -51,6 +53,7 @@
         val controlRevision: Long = 0,
         /** Latest version of the document that the control instance has announced. */
         val announcedVersion: Long = -1,
+        val entryHostsHash: Int = 0,
     ) {
         fun after(reply: PeerMessage.WatchReply): Position =
             Position(
@@ -61,6 +64,7 @@
                 controlHosts = reply.controlHosts.ifEmpty { controlHosts },
                 controlRevision = reply.controlRevision,
                 announcedVersion = maxOf(announcedVersion, reply.documentVersion),
+                entryHostsHash = reply.entryHosts?.hashCode() ?: entryHostsHash,
             )
     }
 
@@ -204,6 +208,7 @@
             announcedVersion = position.announcedVersion,
             controlRevision = position.controlRevision,
             evacuationRevision = clusterView.evacuations.revision,
+            entryHostsHash = position.entryHostsHash.takeIf { needsEntryHosts },
         )
     }
 
@@ -223,6 +228,7 @@
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
         clusterView.recordControlHosts(reply.controlHosts.ifEmpty { positionAt(control).controlHosts })
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
+        if (needsEntryHosts) clusterView.observeEntryHosts(control, reply.entryHosts)
     }
 
     private fun applyDocument(
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchServiceSpec.kt
@@ -52,7 +52,9 @@
             private val control = network(controlHost)
             private val entry = network(entryHost)
             private val watch =
-                WatchService(entry, clusterView, entryHost, port, SystemClock) { EntryInstance(entryHost, "e:80", "z", "r", ready = true) }
+                WatchService(entry, clusterView, entryHost, port, SystemClock, needsEntryHosts = true) {
+                    EntryInstance(entryHost, "e:80", "z", "r", ready = true)
+                }
 
             private fun network(host: String) =
                 PeerNetwork(
@@ -71,6 +73,7 @@
                 delay(minOf(message.waitMillis, 50).milliseconds)
                 val document = ConfigurationDocument(1, "text").takeIf { it.version > message.documentVersion }
                 val quarantine = SuspectReport("quarantined", setOf("a@1", "b@1", "c@1"))
+                val hosts = listOf(entryHost).takeIf { it.hashCode() != message.entryHostsHash }
                 return PeerMessage.WatchReply(
                     incarnation = "x",
                     fleetRevision = 0,
@@ -79,6 +82,7 @@
                     suspects = listOf(quarantine),
                     evacuations = setOf("z").takeIf { message.evacuationRevision < 1 },
                     evacuationRevision = 1,
+                    entryHosts = hosts,
                 )
             }
 
@@ -154,6 +158,17 @@
             }
         }
 
+        describe("an instance that needs the hosts of the others") {
+            // Guards against delegates that are unknown, and against hosts that are sent with every answer.
+            it("learns them once and tells the control instance which it knows") {
+                Watched().run {
+                    val known = listOf(entryHost).hashCode()
+                    becomesTrue { received.any { it is PeerMessage.Watch && it.entryHostsHash == known } } shouldBe true
+                    clusterView.entryHosts shouldBe setOf(entryHost)
+                }
+            }
+        }
+
         describe("the report of suspects") {
             it("goes on after an error") {
                 Watched(clock = FailingClock("reportSuspects")).run {
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -248,7 +248,10 @@
         @CborLabel(12) val announcedVersion: Long = -1,
         /** Revision of the receiver's list of control instances that the sender knows; refers to [incarnation]. */
         @CborLabel(13) val controlRevision: Long = 0,
+        /** Revision of the evacuations that the sender knows. */
         @CborLabel(11) val evacuationRevision: Long = -1,
+        /** Hash of the entry hosts that the receiver has sent; null if the sender does not need them. */
+        @CborLabel(30) val entryHostsHash: Int? = null,
     ) : PeerMessage
 
     /** Answers [Watch]. Parts that have not changed are null or empty. */
@@ -282,6 +285,8 @@
         /** Availability zones under evacuation. */
         @CborLabel(17) val evacuations: Set<String>? = null,
         @CborLabel(18) val evacuationRevision: Long = -1,
+        /** Hosts of the entry instances in use; null if they have not changed or are not asked for. */
+        @CborLabel(15) val entryHosts: List<String>? = null,
     ) : PeerMessage {
         override val contentBytes: Int get() = compressedDocument?.sizeBytes ?: document?.text?.length ?: 0
     }
@@ -321,6 +326,28 @@
         @CborLabel(3) val running: List<RunningRequest> = emptyList(),
     ) : PeerMessage
 
+    /** Asks the load delegate of engine [server] to load an adapter, of at least [version] if that is not null. */
+    @Serializable
+    @SerialName("delegate_load")
+    public data class DelegateLoad(
+        @CborLabel(1) val service: String,
+        @CborLabel(2) val server: String,
+        @CborLabel(3) val model: String,
+        @CborLabel(4) val adapter: String,
+        @CborLabel(5) val version: Long? = null,
+    ) : PeerMessage
+
+    /**
+     * Answers [DelegateLoad]. [loaded] if the adapter is loaded or being loaded; it can be used after [readyInMillis]. Otherwise
+     * [readyInMillis] is the time after which the load can be asked for again, 0 if it cannot be carried out.
+     */
+    @Serializable
+    @SerialName("delegate_load_reply")
+    public data class DelegateLoadReply(
+        @CborLabel(1) val loaded: Boolean,
+        @CborLabel(2) val readyInMillis: Long = 0,
+    ) : PeerMessage
+
     /** Asks the leader for the latest configuration document. Linearizable: the answer was the latest at some time after the request. */
     @Serializable
     @SerialName("read_document")
