Test each wait before a request is sent; end a request on a stopped server without an error

A handler that ended after its HTTP server had stopped failed with an uncaught RejectedExecutionException. It came from a forwarder test and was reported by the next test that uses runTest (WatchResponderSpec, once in a run of all tests of gateway).

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -143,7 +143,8 @@
         val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
         if (port == null) throw HttpClientException.NotSent("'$address' is not host:port")
         val probe = WriteProbe()
-        val connection = ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
+        val connection =
+            ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
         try {
             withTimeoutOrNull(connectTimeout) {
                 bootstrap
@@ -168,12 +169,11 @@
     private fun initializer(
         probe: WriteProbe,
         connection: ClientConnection,
-    ) =
-        object : ChannelInitializer<SocketChannel>() {
-            override fun initChannel(channel: SocketChannel) {
-                channel.pipeline().addLast(probe, HttpClientCodec(), connection)
-            }
+    ) = object : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(probe, HttpClientCodec(), connection)
         }
+    }
 
     private fun pollIdle(address: String): ClientConnection? {
         val connections = idleConnections[address] ?: return null
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -27,6 +27,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import java.io.IOException
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -227,9 +228,21 @@
             log.error("request_failed", "path" to call.path, "error" to e)
             responder.fail()
         }
-        ctx.channel().eventLoop().execute {
-            closeAfter(ctx, options.idleTimeout)
-            if (responder.keepsConnection) processPending(ctx) else discardInput()
+        endRequest(ctx, responder)
+    }
+
+    /** Goes on with the next request. After the server has stopped there is none. */
+    private fun endRequest(
+        ctx: ChannelHandlerContext,
+        responder: NettyResponder,
+    ) {
+        try {
+            ctx.channel().eventLoop().execute {
+                closeAfter(ctx, options.idleTimeout)
+                if (responder.keepsConnection) processPending(ctx) else discardInput()
+            }
+        } catch (e: RejectedExecutionException) {
+            log.debug("connection_ended", "error" to e.message)
         }
     }
 
--- a/entry/src/test/kotlin/anvilslip/entry/http/NotSentSpec.kt
+++ b/entry/src/test/kotlin/anvilslip/entry/http/NotSentSpec.kt
@@ -102,6 +102,7 @@
         describe("a request that cannot be sent at all") {
             it("was not sent, whatever is wrong with its address or its headers") {
                 val client = HttpClient(threads = 1)
+
                 suspend fun open(
                     address: String,
                     headers: Map<String, String> = emptyMap(),
--- a/gateway/src/test/kotlin/anvilslip/gateway/DocumentDeliverySpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/DocumentDeliverySpec.kt
@@ -191,8 +191,8 @@
                     entries.count { it.version == 2L } shouldBe ENTRIES
                     val whole = sizeOf(PeerMessage.WatchReply("x", 0, document = document)) * ENTRIES * CONTROLS
                     println(
-                        "document of ${document.text.length} characters, $ENTRIES entry and $CONTROLS control instances, bytes within 1 s: " +
-                            "$whole in whole documents before, ${cluster.bytes} in all messages now, ${cluster.bytesBetweenZones} between zones",
+                        "document of ${document.text.length} characters, $ENTRIES entry and $CONTROLS control instances, " +
+                            "bytes within 1 s: $whole in whole documents before, ${cluster.bytes} in all messages now, ${cluster.bytesBetweenZones} between zones",
                     )
                     cluster.bytes shouldBeLessThan whole / 20
                     cluster.bytesBetweenZones shouldBeLessThan whole / 100
@@ -290,7 +290,8 @@
                     val known = PeerMessage.Watch(entry.self, incarnation = "x", controlRevision = first.controlRevision)
                     (cluster.responders.getValue("c0").respond("e", known) as PeerMessage.WatchReply).controlHosts shouldBe emptySet()
                     cluster.responders.getValue("c0").respond("c9", PeerMessage.Watch())
-                    (cluster.responders.getValue("c0").respond("e", known) as PeerMessage.WatchReply).controlHosts shouldBe setOf("c0", "c9")
+                    (cluster.responders.getValue("c0").respond("e", known) as PeerMessage.WatchReply).controlHosts shouldBe
+                        setOf("c0", "c9")
                 }
             }
         }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -20,6 +20,7 @@
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerNetwork
 import arrow.core.right
+import kotlinx.coroutines.delay
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.time.Duration
@@ -50,7 +51,8 @@
 /**
  * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
- * without a leader because of the limit. [retryReserve] is the number of retries allowed, [connectTimeout] that of connections to servers; [demands] records all requests for admission.
+ * without a leader because of the limit. [retryReserve] is the number of retries allowed, [connectTimeout] that of connections to servers; an
+ * admission takes [admissionTime] and holds the request for [holdMillis]; [demands] records all requests for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -59,6 +61,8 @@
     retryReserve: Double = 2.0,
     senderClock: Clock = SystemClock,
     connectTimeout: Duration = 300.milliseconds,
+    admissionTime: Duration = Duration.ZERO,
+    holdMillis: Long = 0,
     demands: MutableList<DispatchRequest> = mutableListOf(),
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
@@ -81,6 +85,7 @@
 
     suspend fun admit(demand: DispatchRequest): AdmissionClient.Result {
         demands += demand
+        delay(admissionTime)
         if (demands.size <= localRefusals) {
             return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500), null)
         }
@@ -89,7 +94,7 @@
         }
         val at = servers.indices.firstOrNull { "s$it" !in demand.exclude }
         val decision =
-            at?.let { DispatchDecision.Send("s$it", servers[it].address) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
+            at?.let { DispatchDecision.Send("s$it", servers[it].address, holdMillis) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
         return AdmissionClient.Result(decision, 1)
     }
     val forwarder =
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderTimeoutSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderTimeoutSpec.kt
@@ -21,6 +21,21 @@
                 }
             }
 
+            it("is answered with 503 while it waits for admission, and while it is held after that") {
+                val unused = ScriptedServer { _, _ -> null }
+                withForwarder(listOf(unused), admissionTime = 5.seconds) { call, _ -> call("/once/1") shouldStartWith "HTTP/1.1 503" }
+                withForwarder(listOf(unused), holdMillis = 5_000) { call, _ -> call("/once/1") shouldStartWith "HTTP/1.1 503" }
+                unused.requests.size shouldBe 0
+            }
+
+            it("is answered with 503 while it is held after a server turned it away") {
+                val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
+                val unused = ScriptedServer { _, _ -> null }
+                withForwarder(listOf(full, unused), holdMillis = 1_200) { call, _ -> call("/again/1") shouldStartWith "HTTP/1.1 503" }
+                full.requests.size shouldBe 1
+                unused.requests.size shouldBe 0
+            }
+
             it("is answered with 503 while a connection is being opened after a server turned it away") {
                 val full = ScriptedServer { _, _ -> "HTTP/1.1 503 Busy\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n" }
                 withForwarder(listOf(full, unreachable()), connectTimeout = 5.seconds) { call, _ ->
--- a/gateway/src/test/kotlin/anvilslip/gateway/LocalDispatchReplaySpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LocalDispatchReplaySpec.kt
@@ -177,7 +177,10 @@
             val after = Replay(speeds).let { it.run(it::localDispatch) }
             for ((version, outcome) in listOf("before" to before, "after" to after)) {
                 println(
-                    "$name, $version: busiest engine to mean %.2f, within the target %.4f".format(outcome.busiestToMean, outcome.shareInTarget),
+                    "$name, $version: busiest engine to mean %.2f, within the target %.4f".format(
+                        outcome.busiestToMean,
+                        outcome.shareInTarget,
+                    ),
                 )
             }
             return before to after
