--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -22,6 +22,7 @@
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerNetwork
 import arrow.core.right
+import kotlinx.coroutines.delay
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.time.Duration
@@ -55,7 +56,8 @@
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
  * without a leader because of the limit; [localDecision] replaces the decision on every request. The servers are in [zones], if given, and
  * [onAdmitted] is called after each decision, before the request is sent. [retryReserve] is the number of retries allowed, [connectTimeout]
- * that of connections to servers; [demands] records all requests for admission.
+ * that of connections to servers; an admission takes [admissionTime] and holds the request for [holdMillis]; [demands] records all requests
+ * for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -64,6 +66,8 @@
     retryReserve: Double = 2.0,
     senderClock: Clock = SystemClock,
     connectTimeout: Duration = 300.milliseconds,
+    admissionTime: Duration = Duration.ZERO,
+    holdMillis: Long = 0,
     demands: MutableList<DispatchRequest> = mutableListOf(),
     localDecision: DispatchDecision? = null,
     zones: List<String> = emptyList(),
@@ -92,6 +96,7 @@
 
     suspend fun admit(demand: DispatchRequest): AdmissionClient.Result {
         demands += demand
+        delay(admissionTime)
         localDecision?.let { return AdmissionClient.Result(it, null) }
         if (demands.size <= localRefusals) {
             return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500), null)
@@ -101,7 +106,7 @@
         }
         val at = servers.indices.firstOrNull { "s$it" !in demand.exclude }
         val decision =
-            at?.let { DispatchDecision.Send("s$it", servers[it].address) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
+            at?.let { DispatchDecision.Send("s$it", servers[it].address, holdMillis) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
         return AdmissionClient.Result(decision, 1)
     }
     val forwarder =
