Learn the speed of each engine and each plain server

The leader kept one prefill speed per service.

ServicePerformance fits the time until an answer begins to the prompt tokens ahead and to the running requests. EnginePerformance holds each server's factor to that mean: the median of the answers of three seconds, at least five, weighted against the mean with the weight of one answer. A process that has started counts at 0.6 of the mean until its first answer. Loads, base model requests and the choice among holders add the time of the request's own prompt on the engine, so that faster engines come first at equal wait. Plain servers learn the service time the same way. Answers after a hold of more than 20 ms are not measured, since others may begin meanwhile.

The shares of the target were chosen on overestimated waits and move with them: refusal 1.3 to 1.05, copies 0.6 and 400 ms to 0.45 and 280 ms.

DispatchTrial gets engines of unequal speed with slow spells.

The time of an adapter load stays a fixed 250 ms: answers after a load do not show when the load itself ended.

--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -3,16 +3,20 @@
 import anvilslip.state.AdapterName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** The backend servers known to a [Dispatcher], and the expected cost of sending a request to each of them. */
 internal class DispatchFleet(
     private val options: DispatchOptions,
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
-    private val speeds = HashMap<String, PrefillSpeed>()
+    private val performances = HashMap<String, ServicePerformance>()
     var configuration = ServingConfiguration(-1)
     var versions: Map<AdapterName, Long> = emptyMap()
 
+    /** Time for which the progress of prompts is estimated. */
+    var now = Duration.ZERO
+
     val servers: Collection<DispatchServer> get() = serversById.values
 
     operator fun get(id: String): DispatchServer? = serversById[id]
@@ -26,9 +30,18 @@
         for (report in reports) {
             val server = serversById[report.id]
             when {
-                server == null -> serversById[report.id] = DispatchServer(report, options).also { it.assumeLoaded(report, now) }
-                server.report.startedAtMillis != report.startedAtMillis -> server.reset(report)
-                else -> server.report = report
+                server == null -> {
+                    serversById[report.id] =
+                        DispatchServer(report, options, performanceOf(report)).also { it.assumeLoaded(report, now) }
+                }
+
+                server.report.startedAtMillis != report.startedAtMillis -> {
+                    server.reset(report)
+                }
+
+                else -> {
+                    server.report = report
+                }
             }
         }
     }
@@ -48,7 +61,17 @@
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
 
-    fun speed(service: String): PrefillSpeed = speeds.getOrPut(service) { PrefillSpeed(options.tokensPerMillisecond) }
+    private fun performanceOf(report: ServerReport): EnginePerformance {
+        val service =
+            performances.getOrPut(report.service) {
+                if (report.models == null) {
+                    ServicePerformance(options.serviceTime.toDouble(DurationUnit.MILLISECONDS), 0.0)
+                } else {
+                    ServicePerformance(1 / options.tokensPerMillisecond, options.runningRequestCost.toDouble(DurationUnit.MILLISECONDS))
+                }
+            }
+        return EnginePerformance(service)
+    }
 
     fun currentVersion(
         model: String,
@@ -63,31 +86,35 @@
         return server.runningRequests < engine.slots && server.kvTokens + request.promptTokens < engine.kvCapacity * options.memoryShare
     }
 
+    /** Expected time until [server] answers [request], by which servers are compared: [cost] and the time for its own prompt. */
+    fun answerCost(
+        server: DispatchServer,
+        request: DispatchRequest,
+    ): Duration = cost(server, request) + server.promptTime(request.promptTokens)
+
     /** Expected time until [server] starts [request], plus the penalty for a server in another zone. */
     fun cost(
         server: DispatchServer,
         request: DispatchRequest,
     ): Duration {
         val zone = if (server.report.zone == request.zone) Duration.ZERO else options.zonePenalty
-        if (request.model != null) return server.expectedWait(speed(server.report.service).tokensPerMillisecond) + zone
-        return queueTime(server) + RUNNING_COST * server.runningRequests + zone
+        if (request.model != null) return server.expectedWait(now) + zone
+        return server.performance.expectedTime(server.plainWork, 0) + RUNNING_COST * server.runningRequests + zone
     }
 
     /** Expected time that a plain request waits for a free slot on [server]. */
-    fun queueTime(server: DispatchServer): Duration {
-        val queued = maxOf(0, server.runningRequests - server.report.slots + 1)
-        return options.serviceTime * queued / server.report.slots
-    }
+    fun queueTime(server: DispatchServer): Duration = server.performance.expectedTime(server.plainWork - 1, 0)
 
     /**
-     * True if a wait of [wait] on an engine would delay the answer to [request] beyond its target. The prefill time of its own
+     * True if a wait of [wait] on [server] would delay the answer to [request] beyond its target. The prefill time of its own
      * prompt alone never counts as too late.
      */
     fun isTooLate(
         wait: Duration,
+        server: DispatchServer,
         request: DispatchRequest,
     ): Boolean {
-        val prefillTime = (request.promptTokens / speed(request.service).tokensPerMillisecond).milliseconds
+        val prefillTime = server.promptTime(request.promptTokens)
         return wait + prefillTime > minOf(request.targetMillis, request.remainingMillis).milliseconds * options.waitShare &&
             wait > prefillTime
     }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -1,12 +1,15 @@
 package anvilslip.policy
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Times, weights and limits of a [Dispatcher]. */
 public data class DispatchOptions(
     /** Initial estimate of the prefill speed of an engine, in prompt tokens per millisecond. */
     val tokensPerMillisecond: Double = 15.0,
+    /** Initial estimate of the time that a running request adds to the prefill of a prompt, since it makes each batch step longer. */
+    val runningRequestCost: Duration = 500.microseconds,
     /** Time to load an adapter from the weight store. */
     val adapterLoad: Duration = 250.milliseconds,
     /** Time to load an adapter that the server evicted recently. */
@@ -22,9 +25,9 @@
     /** Number of most recently evicted adapters that a server can reload quickly. */
     val warmAdapters: Int = 24,
     /** Time that an additional copy of an adapter must save to be worth loading. */
-    val copyThreshold: Duration = 400.milliseconds,
+    val copyThreshold: Duration = 280.milliseconds,
     /** Share of a request's target that it may wait for a server with its adapter before another copy is considered. */
-    val holderWaitShare: Double = 0.6,
+    val holderWaitShare: Double = 0.45,
     /** Penalty for a load from the weight store, which all servers share, compared with a reload local to the server. */
     val fetchPenalty: Duration = 400.milliseconds,
     /** Penalty for a server in another zone, which accounts for cross-zone traffic. */
@@ -33,8 +36,8 @@
     val serviceTime: Duration = 40.milliseconds,
     /** Share of an engine's KV cache that the dispatcher may fill. */
     val memoryShare: Double = 0.9,
-    /** Expected wait above which a request is refused, as a share of its target. Greater than 1 because waits are overestimated. */
-    val waitShare: Double = 1.3,
+    /** Expected wait above which a request is refused, as a share of its target. */
+    val waitShare: Double = 1.05,
     /** Share of a request's target that it may wait for the token bucket of its workspace to refill. */
     val limitWaitShare: Double = 0.5,
     /** How long an unreachable server is avoided. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -2,12 +2,13 @@
 
 import anvilslip.policy.AdapterSlot.State
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** State of one backend server known to the [Dispatcher]: its loaded models and adapters, and the requests sent to it. */
 internal class DispatchServer(
     var report: ServerReport,
     private val options: DispatchOptions,
+    val performance: EnginePerformance,
 ) {
     val adapterSlots = LinkedHashMap<String, AdapterSlot>()
     private val recentlyEvicted = LinkedHashSet<String>()
@@ -21,6 +22,12 @@
     /** Prompt tokens sent to the server that it has not processed yet. */
     var pendingPromptTokens = 0
 
+    /** Number of requests whose prompt tokens are in [pendingPromptTokens]. */
+    var pendingPrompts = 0
+
+    /** Time since which the server has worked on the first of its pending prompts. */
+    var promptStartedAt = Duration.ZERO
+
     /** KV cache tokens used by running requests. */
     var kvTokens = 0
 
@@ -29,7 +36,6 @@
     var avoidedUntil = Duration.ZERO
     var ordersPausedUntil = Duration.ZERO
     var isLoadingModel = false
-    var lastAnswerAt = Duration.ZERO
 
     val isReady: Boolean get() = report.phase == ServerPhase.READY
 
@@ -41,11 +47,22 @@
 
     fun holdsModel(model: String): Boolean = model in inventoryModels || report.models.orEmpty().any { it.name == model }
 
-    fun expectedWait(tokensPerMillisecond: Double): Duration =
-        (
-            pendingPromptTokens / tokensPerMillisecond +
-                runningRequests * MILLIS_PER_RUNNING_REQUEST
-        ).milliseconds
+    /** Expected time until the engine has processed all pending prompts. */
+    fun expectedWait(now: Duration): Duration = performance.expectedTime(remainingPromptTokens(now), runningRequests)
+
+    /** Expected time for a prompt of [tokens] on an idle engine. */
+    fun promptTime(tokens: Int): Duration = performance.expectedTime(tokens.toDouble(), 0)
+
+    /** Pending prompt tokens without those of the current prompt that have been processed since [promptStartedAt]. */
+    fun remainingPromptTokens(now: Duration): Double {
+        if (pendingPrompts == 0 || now <= promptStartedAt) return pendingPromptTokens.toDouble()
+        val processed = (now - promptStartedAt).toDouble(DurationUnit.MILLISECONDS) * performance.speed
+        val meanPrompt = pendingPromptTokens.toDouble() / pendingPrompts
+        return pendingPromptTokens - minOf(processed, meanPrompt * MAX_PROGRESS)
+    }
+
+    /** Rounds of requests until a plain server answers a further request: one, and those of the queue ahead of it. */
+    val plainWork: Double get() = 1 + maxOf(0, runningRequests - report.slots + 1).toDouble() / report.slots
 
     fun isWarm(adapter: String): Boolean = adapter in recentlyEvicted
 
@@ -110,10 +127,11 @@
         ordersAccepted = null
         inventoryModels = emptySet()
         isLoadingModel = false
+        performance.restart()
     }
 
     private companion object {
-        /** Time in milliseconds that one running request adds to the prefill of a prompt, since it makes each batch step longer. */
-        const val MILLIS_PER_RUNNING_REQUEST = 0.5
+        /** Largest share of the current prompt that is assumed to be processed before its answer begins. */
+        const val MAX_PROGRESS = 0.8
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -119,11 +119,27 @@
     /** Removes requests whose deadline has passed and whose end was not reported. */
     public fun expire(now: Duration): Unit = tracker.expire(now)
 
+    /**
+     * Expected time until [server] begins to answer the last request that was sent to it, which has [promptTokens] and is held back for
+     * [hold]; null if the server is not known.
+     */
+    public fun expectedAnswer(
+        server: String,
+        promptTokens: Int,
+        hold: Duration,
+        now: Duration,
+    ): Duration? {
+        val known = fleet[server] ?: return null
+        val promptTime = known.promptTime(promptTokens)
+        return maxOf(hold, known.expectedWait(now) - promptTime) + promptTime
+    }
+
     /** Decides whether and where to run [request]. */
     public fun admit(
         request: DispatchRequest,
         now: Duration,
     ): Admission {
+        fleet.now = now
         val wait = limits.waitTime(request.workspace, request.charge, now)
         val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
@@ -145,7 +161,7 @@
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
         val withMemory = holders.filter { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
-        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.cost(it, request) }, limitWait, null, now)
+        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.answerCost(it, request) }, limitWait, null, now)
         return placeAdapter(request, model, adapter, withMemory, limitWait, now)
     }
 
@@ -172,7 +188,8 @@
         val version = fleet.currentVersion(model, adapter)
 
         fun holderCost(server: DispatchServer) = fleet.cost(server, request) + planner.remainingLoad(server, adapter, now)
-        val holder = servers.filter { planner.holdsVersion(it, adapter, version) }.minByOrNull(::holderCost)
+        val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
+        val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
         val loader = if (holder != null && isSoon(holderCost(holder), request)) null else planner.pickServer(request, adapter, servers, now)
         val loadCost = loader?.let { fleet.cost(it, request) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
@@ -181,7 +198,14 @@
             return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (fleet.isTooLate(loadCost, request)) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        if (fleet.isTooLate(
+                loadCost,
+                loader,
+                request,
+            )
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        }
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
@@ -200,8 +224,12 @@
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
         val wait = fleet.cost(server, request) + holdTime
-        if (request.model != null && fleet.isTooLate(wait, request)) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
-        tracker.recordSent(request, server, now)
+        if (request.model != null &&
+            fleet.isTooLate(wait, server, request)
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
+        }
+        tracker.recordSent(request, server, holdTime, now)
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -61,7 +61,7 @@
         val warm = eligible.filter { it.isWarm(adapter) }
         val cold = eligible.takeIf { loadingCount(now) < concurrentLoads(candidates.size) }.orEmpty()
         return (warm + cold).minByOrNull {
-            fleet.cost(
+            fleet.answerCost(
                 it,
                 request,
             ) + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now)
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -18,6 +18,12 @@
         var pendingTokens: Int,
         val kvTokens: Int,
         val sentAt: Duration,
+        /** Work of the server until it answers, at the time of sending; null if the time until its answer is not measured. */
+        val work: Double? = null,
+        /** Other requests that ran on the server at the time of sending. */
+        val running: Int = 0,
+        /** Start of the process that the request was sent to. */
+        val processStartedAtMillis: Long = 0,
         val expiresAt: Duration,
         val isSuspect: Boolean = false,
     )
@@ -26,10 +32,11 @@
 
     val size: Int get() = requests.size
 
-    /** Records that [request] is sent to [server]. */
+    /** Records that [request] is sent to [server] after [hold]. */
     fun recordSent(
         request: DispatchRequest,
         server: DispatchServer,
+        hold: Duration,
         now: Duration,
     ) {
         val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
@@ -42,13 +49,22 @@
                 charge = request.charge,
                 pendingTokens = promptTokens,
                 kvTokens = promptTokens,
-                sentAt = now,
+                sentAt = now + hold,
+                work = workUntilAnswer(request, server, now).takeIf { hold <= MAX_MEASURED_HOLD },
+                running = server.runningRequests,
+                processStartedAtMillis = server.report.startedAtMillis,
                 expiresAt = expiresAt,
                 isSuspect = request.isSuspect,
             )
         track(request.entry to request.number, server, tracked, now)
     }
 
+    private fun workUntilAnswer(
+        request: DispatchRequest,
+        server: DispatchServer,
+        now: Duration,
+    ): Double = if (server.report.models == null) server.plainWork else server.remainingPromptTokens(now) + request.promptTokens
+
     /** Restores the requests that [entry] reports as running. Requests that are known already are skipped. */
     fun restoreRequests(
         entry: String,
@@ -61,7 +77,9 @@
             if (key in requests) continue
             val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
             val promptTokens = request.promptTokens
-            track(key, server, TrackedRequest(request.server, request.adapter, null, 0, promptTokens, promptTokens, now, expiresAt), now)
+            val tracked =
+                TrackedRequest(request.server, request.adapter, null, 0, promptTokens, promptTokens, sentAt = now, expiresAt = expiresAt)
+            track(key, server, tracked, now)
         }
     }
 
@@ -81,11 +99,15 @@
         val server = fleet[tracked.server]
         when (event.step) {
             RequestStep.ANSWERING -> {
-                server?.let { observePrefill(it, tracked, now) }
+                if (tracked.pendingTokens > 0 && server != null) {
+                    observe(server, tracked, now)
+                    server.promptStartedAt = now
+                }
                 markPromptProcessed(tracked)
             }
 
             RequestStep.ENDED -> {
+                if (server?.report?.models == null) server?.let { observe(it, tracked, now) }
                 remove(key, tracked)
             }
 
@@ -98,14 +120,14 @@
         }
     }
 
-    private fun observePrefill(
+    private fun observe(
         server: DispatchServer,
         tracked: TrackedRequest,
         now: Duration,
     ) {
-        val from = maxOf(tracked.sentAt, server.lastAnswerAt)
-        server.lastAnswerAt = now
-        if (tracked.pendingTokens > 0 && now > from) fleet.speed(server.report.service).observe(tracked.pendingTokens, now - from)
+        val work = tracked.work ?: return
+        if (tracked.processStartedAtMillis != server.report.startedAtMillis) return
+        server.performance.observe(ServicePerformance.Sample(work, tracked.running, now - tracked.sentAt, now))
     }
 
     private fun track(
@@ -118,6 +140,8 @@
         requests[key] = tracked
         server.runningRequests++
         if (tracked.isSuspect) server.runningSuspects++
+        if (server.pendingPrompts == 0) server.promptStartedAt = tracked.sentAt
+        if (tracked.pendingTokens > 0) server.pendingPrompts++
         server.pendingPromptTokens += tracked.pendingTokens
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
@@ -126,7 +150,11 @@
     }
 
     private fun markPromptProcessed(tracked: TrackedRequest) {
-        fleet[tracked.server]?.let { it.pendingPromptTokens -= tracked.pendingTokens }
+        val server = fleet[tracked.server]
+        if (server != null && tracked.pendingTokens > 0) {
+            server.pendingPrompts--
+            server.pendingPromptTokens -= tracked.pendingTokens
+        }
         tracked.pendingTokens = 0
     }
 
@@ -144,6 +172,9 @@
     }
 
     private companion object {
+        /** Longest hold of a request whose answer is measured; later requests may be answered during a longer one. */
+        val MAX_MEASURED_HOLD = 20.milliseconds
+
         /** Time after the deadline of a request for which its events may still arrive. */
         val EVENT_MARGIN = 1.seconds
     }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -10,6 +10,10 @@
     val engines: Int = 6,
     val zones: Int = 3,
     val engine: EngineModelOptions = EngineModelOptions(),
+    /** Speeds of the engines relative to [engine], by turns. */
+    val engineSpeeds: List<Double> = listOf(1.0),
+    /** Slow spells of the engines; null for none. */
+    val slowSpells: SpeedProfile.SlowSpells? = null,
     val dispatch: DispatchOptions = DispatchOptions(),
     /** Number of adapters that clients request. */
     val adapters: Int = 3_000,
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -25,6 +25,10 @@
     val fetches: Double,
     /** Prefilled tokens divided by the prompt tokens of all answered requests. */
     val readShare: Double,
+    /** Prefilled tokens of the busiest engine relative to its speed, divided by the mean over all engines. */
+    val busiestEngine: Double = 1.0,
+    /** Median difference between the predicted and the actual time until an answer begins, relative to the actual time. */
+    val predictionError: Double = 0.0,
 ) {
     /** Lowest share of requests served over all workspaces. */
     val worstWorkspace: Double get() = servedByWorkspace.min()
