Limit the requests that reach cold servers

A server that has just started, or whose zone returns from an evacuation, got as many requests as any other and took seconds for them.

ColdServers knows until when servers are cold: by their reports, and for coldStart after the end of an evacuation of their zone (coolDown). It belongs to the view of each instance, so that a new leader knows what its instance learnt before. The leader prefers warm servers. Where these cannot serve, a cold one gets at most min(ColdPerS, half of the bound) requests in any second, by the time at which they are to be sent (ColdStartLimiter); beyond that the request is refused as for a busy server. A new leader sends nothing to cold servers for 1.5 s, and no request for a cold server is held back longer than 500 ms, so that two leaders together keep to the limit. An instance that decides without a leader sends nothing to a server that it knows to be cold.

The settings coldOvershoot and coldSlack default to the strictest bound. A service without ColdPerS is served as before. A limit below one request a second counts as none.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.ColdServers
 import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
 import anvilslip.policy.FleetTable
@@ -62,6 +63,9 @@
     @Volatile
     private var knownControlHosts = controls.hosts
 
+    /** Which servers are cold. [ColdServers.coolDown] must be called when an evacuation of a zone ends. */
+    public val coldServers: ColdServers = ColdServers()
+
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
 
@@ -163,6 +167,7 @@
         direct: Boolean,
     ): FleetTable.Change {
         val change = synchronized(fleet) { fleet.applyReport(report, direct, clock.elapsed()) }
+        if (change != FleetTable.Change.NONE) coldServers.observe(report, clock.elapsed())
         publishServerChange(report, change, direct)
         return change
     }
@@ -184,6 +189,10 @@
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(clock.elapsed(), serverTimeout) }
 
+    /** True if [server] is cold and tolerates only few requests. */
+    public fun isCold(server: ServerReport): Boolean =
+        coldServers.isCold(server, active.configuration?.services?.get(server.service), clock.elapsed())
+
     /** Returns the last report of backend server [id], or null if it is not known. */
     public fun server(id: String): ServerReport? = synchronized(fleet) { fleet[id] }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -131,9 +131,10 @@
         val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
+        val options = DispatchOptions(coldOvershoot = settings.coldOvershoot, coldSlack = settings.coldSlack)
         val dispatch =
             kernel.install(
-                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
+                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, options, handover, clock),
             )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -155,7 +155,12 @@
     ): LeaderTerm {
         log.info("term_began", "term" to number, "has_predecessor" to hasPredecessor)
         val now = clock.elapsed()
-        return LeaderTerm(number, Dispatcher(options, now, hasPredecessor), lastLeader, now).also(::refreshDispatcher)
+        return LeaderTerm(
+            number,
+            Dispatcher(options, now, hasPredecessor, clusterView.coldServers),
+            lastLeader,
+            now,
+        ).also(::refreshDispatcher)
     }
 
     private fun refreshDispatcher(term: LeaderTerm) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -48,7 +48,8 @@
                 it.service == request.service && it.phase == ServerPhase.READY && it.id !in request.exclude
             }
         if (candidates.isEmpty()) return DispatchDecision.Refuse(DispatchRefusal.NO_SERVER, RETRY_AFTER.inWholeMilliseconds)
-        val eligible = candidates.filter { canServe(it, request) }
+        // The share of this instance in what cold servers tolerate is zero, so that all instances together keep within the limit.
+        val eligible = candidates.filter { canServe(it, request) && !clusterView.isCold(it) }
         val best =
             eligible.minByOrNull { countRunning(it.id) + if (it.zone == request.zone) 0.0 else OTHER_ZONE_PENALTY }
                 ?: return DispatchDecision.Refuse(DispatchRefusal.LOADING, RETRY_AFTER.inWholeMilliseconds)
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -8,6 +8,8 @@
 /** The backend servers known to a [Dispatcher], and the expected cost of sending a request to each of them. */
 internal class DispatchFleet(
     private val options: DispatchOptions,
+    private val coldServers: ColdServers,
+    private val coldLimiter: ColdStartLimiter,
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val performances = HashMap<String, ServicePerformance>()
@@ -27,6 +29,7 @@
         now: Duration,
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
+        reports.forEach { coldServers.observe(it, now) }
         for (report in reports) {
             val server = serversById[report.id]
             when {
@@ -59,6 +62,33 @@
         return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
+    private fun serviceOf(server: DispatchServer): BackendService? = configuration.services[server.report.service]
+
+    /** True if [server] is cold and tolerates only few requests. */
+    fun isCold(
+        server: DispatchServer,
+        now: Duration,
+    ): Boolean = coldServers.isCold(server.report, serviceOf(server), now)
+
+    /** True if another request may be sent at [at] to [server], which is cold. */
+    fun hasColdRoom(
+        server: DispatchServer,
+        at: Duration,
+        now: Duration,
+    ): Boolean {
+        val limit = ColdStartLimiter.limit(serviceOf(server) ?: return true, options)
+        return coldLimiter.hasRoom(server.report.id, at, now, limit)
+    }
+
+    /** Records that a request is to be sent to [server] at [at]. */
+    fun recordSend(
+        server: DispatchServer,
+        at: Duration,
+        now: Duration,
+    ) {
+        if ((serviceOf(server)?.coldRequestsPerSecond ?: 0.0) > 0) coldLimiter.record(server.report.id, at, now)
+    }
+
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
 
     private fun performanceOf(report: ServerReport): EnginePerformance {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -40,6 +40,9 @@
     val waitShare: Double = 1.05,
     /** Share of a request's target that it may wait for the token bucket of its workspace to refill. */
     val limitWaitShare: Double = 0.5,
+    /** Factor on what a cold server tolerates, and requests beyond it, that all instances together may send to it in any second. */
+    val coldOvershoot: Double = 1.0,
+    val coldSlack: Double = 0.0,
     /** How long an unreachable server is avoided. */
     val unreachablePause: Duration = 1000.milliseconds,
     /** How long a server receives no orders after an order or a state query failed. */
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -14,14 +14,16 @@
  * and not processed yet. A request is sent to the server that is expected to answer first. A request that cannot be answered
  * within its target is refused immediately, because running it would only delay other requests.
  *
+ * @param coldServers which servers are cold; shared with the view of this instance, so that a new leader knows what it learnt before
  * @param hasPredecessor true if another leader preceded this one: its orders may still be in flight and its limits partly used
  */
 public class Dispatcher(
     private val options: DispatchOptions,
     now: Duration,
     hasPredecessor: Boolean,
+    private val coldServers: ColdServers = ColdServers(),
 ) {
-    private val fleet = DispatchFleet(options)
+    private val fleet = DispatchFleet(options, coldServers, ColdStartLimiter(now, hasPredecessor))
     private val limits = WorkspaceLimits(hasPredecessor)
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
@@ -59,6 +61,12 @@
         now: Duration,
     ): Unit = fleet.updateServers(reports, now)
 
+    /** Makes all servers of [zone] cold for the cold start of their service, because its evacuation has ended. */
+    public fun coolDown(
+        zone: String,
+        now: Duration,
+    ): Unit = coldServers.coolDown(zone, now)
+
     /** Engines whose inventory must be queried before orders can be sent to them. */
     public fun enginesToQuery(now: Duration): List<ServerReport> = planner.enginesToQuery(now)
 
@@ -156,6 +164,20 @@
     ): Admission {
         val candidates = fleet.candidates(request, now)
         if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
+        val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
+        val admission =
+            if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, now)
+        val isRefused = (admission as? Admission.Decided)?.decision is DispatchDecision.Refuse
+        val open = if (isRefused) cold.filter { fleet.hasColdRoom(it, now + limitWait, now) } else emptyList()
+        return if (open.isEmpty()) admission else placeOn(open, request, limitWait, now)
+    }
+
+    private fun placeOn(
+        candidates: List<DispatchServer>,
+        request: DispatchRequest,
+        limitWait: Duration,
+        now: Duration,
+    ): Admission {
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
         val holders = candidates.filter { it.holdsModel(model) }
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
@@ -229,6 +251,9 @@
         ) {
             return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
         }
+        val sendAt = now + holdTime
+        if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
+        fleet.recordSend(server, sendAt, now)
         tracker.recordSent(request, server, holdTime, now)
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
@@ -256,6 +281,7 @@
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
+        val COLD_RETRY = 500.milliseconds
         val BUSY_RETRY = 200.milliseconds
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 2.seconds
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -51,6 +51,8 @@
                 retryShare = root.double("retryShare", 0.0..1.0, defaults.retryShare),
                 retryReserve = root.double("retryReserve", 0.0..MAX_RETRY_RESERVE, defaults.retryReserve),
                 orderPause = readDuration(root, "orderPause", defaults.orderPause),
+                coldOvershoot = root.double("coldOvershoot", 0.0..MAX_COLD_OVERSHOOT, defaults.coldOvershoot),
+                coldSlack = root.double("coldSlack", 0.0..MAX_COLD_SLACK, defaults.coldSlack),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
             )
         root.reportUnknownKeys()
@@ -81,5 +83,7 @@
         val PORTS = 1..65_535
         const val MAX_TOLERATED_LOSSES = 10
         const val MAX_RETRY_RESERVE = 1e6
+        const val MAX_COLD_OVERSHOOT = 1e3
+        const val MAX_COLD_SLACK = 1e6
     }
 }
--- a/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
+++ b/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
@@ -27,6 +27,13 @@
                 settings.isControl shouldBe false
             }
 
+            it("reads the limit of cold servers, by default the strictest") {
+                val settings = read(validSettings.replace("{", "{\"coldOvershoot\": 1.5, \"coldSlack\": 5, ")).getOrNull()!!
+                settings.coldOvershoot to settings.coldSlack shouldBe (1.5 to 5.0)
+                val defaults = read(validSettings).getOrNull()!!
+                defaults.coldOvershoot to defaults.coldSlack shouldBe (1.0 to 0.0)
+            }
+
             it("requires clients or control") {
                 findings(validSettings.replace("\"clients\": \"10.0.0.1:80\", ", "")) shouldBe listOf("needs 'clients' or 'control'")
             }
