--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.ColdServers
 import anvilslip.policy.ContactClock
 import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
@@ -74,6 +75,9 @@
     @Volatile
     private var knownControlHosts = controls.hosts
 
+    /** Which servers are cold. */
+    public val coldServers: ColdServers = ColdServers()
+
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
 
@@ -145,7 +149,11 @@
             if (next.revision <= previous.revision) return
             evacuationsRef.set(next)
             for (zone in next.zones - previous.zones) recordEvacuationChange(zone, isActive = true, next.revision)
-            for (zone in previous.zones - next.zones) recordEvacuationChange(zone, isActive = false, next.revision)
+            for (zone in previous.zones - next.zones) {
+                // Its servers may have become cold without a report that has reached this instance.
+                coldServers.coolDown(zone, clock.elapsed())
+                recordEvacuationChange(zone, isActive = false, next.revision)
+            }
         }
         signalChange()
     }
@@ -227,6 +235,7 @@
         direct: Boolean,
     ): FleetTable.Change {
         val change = synchronized(fleet) { fleet.applyReport(report, direct, fleetTime()) }
+        if (change != FleetTable.Change.NONE) coldServers.observe(report, clock.elapsed())
         publishServerChange(report, change, direct)
         return change
     }
@@ -248,6 +257,10 @@
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
 
+    /** True if [server] is cold and tolerates only few requests. */
+    public fun isCold(server: ServerReport): Boolean =
+        coldServers.isCold(server, active.configuration?.services?.get(server.service), clock.elapsed())
+
     /** Returns the last report of backend server [id], or null if it is not known. */
     public fun server(id: String): ServerReport? = synchronized(fleet) { fleet[id] }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -61,7 +61,8 @@
         if (available.isEmpty() && ready.isNotEmpty()) return DispatchDecision.Refuse.evacuated(ready.size)
         val candidates = available.filter { it.id !in request.exclude }
         if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, request)
-        val eligible = candidates.filter { canServe(it, request) }
+        // The share of this instance in what cold servers tolerate is zero, so that all instances together keep within the limit.
+        val eligible = candidates.filter { canServe(it, request) && !clusterView.isCold(it) }
         val best = chooseOfTwo(eligible, request) ?: return refuse(DispatchRefusal.LOADING, request)
         chargeOrRefuse(request, now)?.let { return it }
         return DispatchDecision.Send(best.id, best.address, version = version(request))
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -14,14 +14,16 @@
  * and not processed yet. A request is sent to the server that is expected to answer first. A request that cannot be answered
  * within its target is refused immediately, because running it would only delay other requests.
  *
+ * @param coldServers which servers are cold; shared with the view of this instance, so that a new leader knows what it learnt before
  * @param hasPredecessor true if another leader preceded this one: its orders may still be in flight and its limits partly used
  */
 public class Dispatcher(
     private val options: DispatchOptions,
     now: Duration,
     hasPredecessor: Boolean,
+    private val coldServers: ColdServers = ColdServers(),
 ) {
-    private val fleet = DispatchFleet(options)
+    private val fleet = DispatchFleet(options, coldServers, ColdStartLimiter(now, hasPredecessor))
     private val limits = WorkspaceLimits(hasPredecessor)
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
@@ -124,11 +126,27 @@
     /** Removes requests whose deadline has passed and whose end was not reported. */
     public fun expire(now: Duration): Unit = tracker.expire(now)
 
+    /**
+     * Expected time until [server] begins to answer the last request that was sent to it, which has [promptTokens] and is held back for
+     * [hold]; null if the server is not known.
+     */
+    public fun expectedAnswer(
+        server: String,
+        promptTokens: Int,
+        hold: Duration,
+        now: Duration,
+    ): Duration? {
+        val known = fleet[server] ?: return null
+        val promptTime = known.promptTime(promptTokens)
+        return maxOf(hold, known.expectedWait(now) - promptTime) + promptTime
+    }
+
     /** Decides whether and where to run [request]. */
     public fun admit(
         request: DispatchRequest,
         now: Duration,
     ): Admission {
+        fleet.now = now
         val wait = limits.waitTime(request.workspace, request.charge, now)
         val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
@@ -145,12 +163,26 @@
     ): Admission {
         val candidates = fleet.candidates(request, now)
         if (candidates.isEmpty()) return refuseWithoutServer(request)
+        val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
+        val admission =
+            if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, now)
+        val isRefused = (admission as? Admission.Decided)?.decision is DispatchDecision.Refuse
+        val open = if (isRefused) cold.filter { fleet.hasColdRoom(it, now + limitWait, now) } else emptyList()
+        return if (open.isEmpty()) admission else placeOn(open, request, limitWait, now)
+    }
+
+    private fun placeOn(
+        candidates: List<DispatchServer>,
+        request: DispatchRequest,
+        limitWait: Duration,
+        now: Duration,
+    ): Admission {
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
         val holders = candidates.filter { it.holdsModel(model) }
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
         val withMemory = holders.filter { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
-        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.cost(it, request) }, limitWait, null, now)
+        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.answerCost(it, request) }, limitWait, null, now)
         return placeAdapter(request, model, adapter, withMemory, limitWait, now)
     }
 
@@ -183,7 +215,8 @@
         val version = fleet.currentVersion(model, adapter)
 
         fun holderCost(server: DispatchServer) = fleet.cost(server, request) + planner.remainingLoad(server, adapter, now)
-        val holder = servers.filter { planner.holdsVersion(it, adapter, version) }.minByOrNull(::holderCost)
+        val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
+        val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
         val loader = if (holder != null && isSoon(holderCost(holder), request)) null else planner.pickServer(request, adapter, servers, now)
         val loadCost = loader?.let { fleet.cost(it, request) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
@@ -192,7 +225,14 @@
             return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (fleet.isTooLate(loadCost, request)) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        if (fleet.isTooLate(
+                loadCost,
+                loader,
+                request,
+            )
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        }
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
@@ -211,8 +251,15 @@
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
         val wait = fleet.cost(server, request) + holdTime
-        if (request.model != null && fleet.isTooLate(wait, request)) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
-        tracker.recordSent(request, server, now)
+        if (request.model != null &&
+            fleet.isTooLate(wait, server, request)
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
+        }
+        val sendAt = now + holdTime
+        if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
+        fleet.recordSend(server, sendAt, now)
+        tracker.recordSent(request, server, holdTime, now)
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
@@ -239,6 +286,7 @@
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
+        val COLD_RETRY = 500.milliseconds
         val BUSY_RETRY = 200.milliseconds
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 2.seconds
