--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -6,6 +6,7 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.wire.PeerError
 import anvilslip.wire.PeerMessage
+import kotlinx.coroutines.CancellationException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -39,7 +40,7 @@
     /** Returns the leader's decision on [request], or a local one if the leader cannot be reached. */
     public suspend fun admit(request: DispatchRequest): Result {
         val leader = clusterView.leader.host.takeIf { clock.elapsed() >= leaderAvoidedUntil }
-        val answer = leader?.let { askLeader(it, request) }
+        val answer = leader?.let { askUntilDecided(it, request) }
         logLeaderAvailability(answer != null)
         if (answer != null) return answer
         val decision = local.decide(request, clock.elapsed())
@@ -47,6 +48,29 @@
         return Result(decision, null)
     }
 
+    /** Asks again at once for as long as the request waits at the leader, and withdraws it if the client stops waiting. */
+    private suspend fun askUntilDecided(
+        knownLeader: String,
+        request: DispatchRequest,
+    ): Result? {
+        val startedAt = clock.elapsed()
+        try {
+            var leader = knownLeader
+            while (true) {
+                val waited = (clock.elapsed() - startedAt).inWholeMilliseconds
+                val remaining = request.remainingMillis - waited
+                val current = request.copy(targetMillis = request.targetMillis - waited, remainingMillis = remaining)
+                val answer = askLeader(leader, current)
+                if (answer?.decision != DispatchDecision.Wait) return answer
+                if (remaining <= 0) return null
+                leader = clusterView.leader.host ?: leader
+            }
+        } catch (e: CancellationException) {
+            withdraw(request.number)
+            throw e
+        }
+    }
+
     private suspend fun askLeader(
         knownLeader: String,
         request: DispatchRequest,
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -106,7 +106,7 @@
                 if (waitBeforeReadmission(exchange, admitted.term)) continue
                 return answerRefusal(exchange, decision)
             }
-            decision as DispatchDecision.Send
+            check(decision is DispatchDecision.Send) { "the admission of request $number is not decided" }
             recordCharge(exchange, demand)
             exchange.lastServer = decision.server
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
@@ -120,6 +120,7 @@
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult? {
+        var outputTokens: Int? = null
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
             if (suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(attempt.decision.server)) {
@@ -128,12 +129,20 @@
             }
             exchange.attempts++
             exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
-            return sender.send(exchange, attempt)
+            val result = sender.send(exchange, attempt)
+            if (result is AttemptResult.Delivered) outputTokens = outputTokensOf(exchange)
+            return result
         } finally {
-            progress.recordStep(attempt.number, RequestStep.ENDED)
+            progress.recordStep(attempt.number, RequestStep.ENDED, outputTokens)
         }
     }
 
+    /** The events of a stream are numbered by token. */
+    private fun outputTokensOf(exchange: Exchange): Int? =
+        exchange.events.lastId
+            ?.takeIf { it in 1..exchange.request.maxOutputTokens }
+            ?.toInt()
+
     /** Refuses a request because [key], one of its suspect keys, is quarantined. Without a retry delay, since it will not be run later. */
     private suspend fun refuseQuarantined(
         exchange: Exchange,
@@ -262,7 +271,7 @@
         val request = exchange.request
         val unreadTokens = if (exchange.hasResponseStarted) 0 else request.promptTokens
         val left = (exchange.deadline - clock.elapsed()).inWholeMilliseconds
-        return RunningRequest(number, server, request.model, request.adapter, unreadTokens, left)
+        return RunningRequest(number, server, request.model, request.adapter, unreadTokens, left, exchange.priority)
     }
 
     private fun recordAdapterHolder(
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -133,7 +133,16 @@
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
         val dispatch =
             kernel.install(
-                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
+                LeaderDispatch(
+                    replica::view,
+                    clusterView,
+                    watchResponder,
+                    engineClient,
+                    DispatchOptions(),
+                    handover,
+                    clock,
+                    AdmissionMetrics(metrics),
+                ),
             )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -5,7 +5,9 @@
 import anvilslip.kernel.Service
 import anvilslip.kernel.isFatal
 import anvilslip.kernel.launchPeriodically
+import anvilslip.kernel.launchSupervised
 import anvilslip.policy.Admission
+import anvilslip.policy.AdmissionControl
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.DispatchRefusal
@@ -13,27 +15,34 @@
 import anvilslip.policy.Dispatcher
 import anvilslip.policy.LoadOrder
 import anvilslip.policy.ModelOrder
+import anvilslip.policy.RequestKey
+import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerReport
 import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs a [Dispatcher] while this instance is the leader, and sends the orders that it issues to the engines. */
+@OptIn(ExperimentalCoroutinesApi::class)
 public class LeaderDispatch(
     private val replicaView: () -> ReplicaView,
     private val clusterView: ClusterView,
@@ -42,6 +51,7 @@
     private val options: DispatchOptions,
     private val handover: OrderHandover,
     private val clock: Clock,
+    metrics: AdmissionMetrics? = null,
 ) : Service {
     private class LeaderTerm(
         val number: Long,
@@ -49,6 +59,10 @@
         val previousLeader: String?,
         val electedAt: Duration,
     ) {
+        val admissions = AdmissionControl(dispatcher)
+
+        /** Questions that have not been answered, because their requests wait; guarded by the lock. */
+        val pendingQuestions = HashMap<RequestKey, CompletableDeferred<Admission>>()
         var canSendOrders = false
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
@@ -58,11 +72,19 @@
 
     override val name: String = NAME
     private val log = EventLogger("dispatch")
+    private val admissionLog = AdmissionLog(metrics, clock)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val lock = Any()
     private val termState = TermState<LeaderTerm>()
     private val wasLeading = AtomicBoolean()
 
+    /** Signals that a waiting request may be able to start. */
+    private val changes = Channel<Unit>(Channel.CONFLATED)
+
+    /** State of the last term in which this instance has led. */
+    @Volatile
+    private var lastTerm: LeaderTerm? = null
+
     @Volatile
     private var lastLeader: String? = null
 
@@ -72,24 +94,30 @@
 
     override suspend fun start() {
         scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
+        scope.launchSupervised("admission queue") { recordProgress ->
+            while (true) {
+                awaitNextPass()
+                passQueue()
+                recordProgress()
+            }
+        }
     }
 
     override suspend fun stop() {
         scope.coroutineContext[Job]?.cancelAndJoin()
     }
 
-    /** Decides on [request], after loading the adapter if necessary. */
+    /** Decides on [request], after it has waited until it can start and its adapter is loaded if necessary. */
     public suspend fun admit(request: DispatchRequest): PeerMessage {
         val receivedAt = clock.elapsed()
         var loadCount = 0
+        var isReserved = false
         while (true) {
             val term = currentTerm() ?: return notLeader()
-            val waited = clock.elapsed() - receivedAt
-            when (val admission = decide(term, request.withElapsed(waited))) {
+            when (val admission = decide(term, request, receivedAt, isReserved) ?: return notLeader()) {
                 is Admission.Decided -> {
-                    val mayWait = waited < PLACE_TIMEOUT && admission.decision.isLoadingRefusal()
-                    if (!mayWait) return PeerMessage.AdmitReply(term.number, admission.decision)
-                    delay(PLACE_POLL)
+                    admissionLog.record(request, admission.decision, clock.elapsed() - receivedAt)
+                    return PeerMessage.AdmitReply(term.number, admission.decision)
                 }
 
                 is Admission.Load -> {
@@ -101,16 +129,50 @@
                     term.pendingOrders[admission.server to admission.adapter]?.await() ?: delay(ORDER_POLL)
                 }
             }
+            isReserved = true
+        }
+    }
+
+    /** Waits until there may be something to do for the queue: an event, or the time that the queue has named. */
+    private suspend fun awaitNextPass() {
+        while (true) {
+            val nextAt = synchronized(lock) { lastTerm?.admissions?.nextWakeAt }
+            val remaining = if (nextAt == null) Duration.INFINITE else nextAt - clock.elapsed()
+            if (!remaining.isPositive()) return
+            withTimeoutOrNull(remaining) { changes.receive() }
         }
     }
 
-    private fun DispatchRequest.withElapsed(waited: Duration): DispatchRequest {
-        val millis = waited.inWholeMilliseconds
-        return copy(targetMillis = targetMillis - millis, remainingMillis = remainingMillis - millis)
+    /** Answers the questions about waiting requests that can start now, or have waited as long as their entry instances may. */
+    private fun passQueue() {
+        val term = currentTerm()
+        if (term == null) {
+            lastTerm?.let(::abandonQuestions)
+            return
+        }
+        val sizes =
+            synchronized(lock) {
+                refreshDispatcher(term)
+                for (answer in term.admissions.wake(clock.elapsed())) {
+                    registerOrder(term, answer.admission)
+                    term.pendingQuestions.remove(answer.key)?.complete(answer.admission)
+                }
+                term.admissions.waitingByPriority
+            }
+        admissionLog.recordWaiting(sizes)
     }
 
-    /** True if no place for the adapter is free at present; one may become free within milliseconds. */
-    private fun DispatchDecision.isLoadingRefusal(): Boolean = this is DispatchDecision.Refuse && reason == DispatchRefusal.LOADING
+    /** Ends the pending questions of [term], which is over or whose lease has lapsed; their entry instances ask again. */
+    private fun abandonQuestions(term: LeaderTerm) =
+        synchronized(lock) {
+            term.admissions.clear()
+            for (question in term.pendingQuestions.values) question.cancel()
+            term.pendingQuestions.clear()
+        }
+
+    private fun signalChange(term: LeaderTerm) {
+        if (synchronized(lock) { term.admissions.recordChange() }) changes.trySend(Unit)
+    }
 
     private fun refuseLoading(term: LeaderTerm): PeerMessage {
         val refusal = DispatchDecision.Refuse(DispatchRefusal.LOADING, options.adapterLoad.inWholeMilliseconds)
@@ -123,21 +185,69 @@
         synchronized(lock) {
             term.dispatcher.restoreRequests(message.entry, message.running, clock.elapsed())
             term.dispatcher.applyEvents(message.entry, message.events, clock.elapsed())
+            for (event in message.events) {
+                if (event.step == RequestStep.ENDED) withdrawWaiting(term, RequestKey(message.entry, event.number))
+            }
         }
+        if (message.events.isNotEmpty()) signalChange(term)
+    }
+
+    private fun withdrawWaiting(
+        term: LeaderTerm,
+        key: RequestKey,
+    ) {
+        term.admissions.withdraw(key)
+        term.pendingQuestions.remove(key)?.cancel()
     }
 
     private fun notLeader() = PeerMessage.NotLeader(replicaView().leader?.instance)
 
-    private fun decide(
+    /** Returns the decision on [request] once it is made, or null if this instance stops leading before. */
+    private suspend fun decide(
         term: LeaderTerm,
         request: DispatchRequest,
-    ): Admission =
+        receivedAt: Duration,
+        isReserved: Boolean,
+    ): Admission? {
+        val key = RequestKey(request.entry, request.number)
+        val question = CompletableDeferred<Admission>()
         synchronized(lock) {
             refreshDispatcher(term)
-            val admission = term.dispatcher.admit(request, clock.elapsed())
-            if (admission is Admission.Load) term.pendingOrders[admission.order.server to admission.order.adapter] = CompletableDeferred()
-            admission
+            val admission = term.admissions.ask(request, receivedAt, clock.elapsed(), isReserved)
+            if (admission != null) return admission.also { registerOrder(term, it) }
+            term.pendingQuestions.put(key, question)?.complete(Admission.Decided(DispatchDecision.Wait))
+        }
+        changes.trySend(Unit)
+        try {
+            withTimeoutOrNull(QUESTION_TIMEOUT) { question.join() }
+        } catch (e: CancellationException) {
+            // The adapter slot is reserved, so the order must be carried out.
+            if (!giveUp(term, key, question)) {
+                (question.getCompleted() as? Admission.Load)?.let { scope.launch { load(term, it.order) } }
+            }
+            throw e
         }
+        return if (giveUp(term, key, question)) null else question.await()
+    }
+
+    /** Removes the request [key] from the queue if its [question] is not answered. Returns false if it is answered. */
+    private fun giveUp(
+        term: LeaderTerm,
+        key: RequestKey,
+        question: CompletableDeferred<Admission>,
+    ): Boolean =
+        synchronized(lock) {
+            val isPending = term.pendingQuestions.remove(key, question)
+            if (isPending) term.admissions.withdraw(key)
+            isPending || question.isCancelled
+        }
+
+    private fun registerOrder(
+        term: LeaderTerm,
+        admission: Admission,
+    ) {
+        if (admission is Admission.Load) term.pendingOrders[admission.order.server to admission.order.adapter] = CompletableDeferred()
+    }
 
     /** Returns the state of the current term, created now if this instance has just been elected; null if it does not lead. */
     private fun currentTerm(): LeaderTerm? {
@@ -155,7 +265,13 @@
     ): LeaderTerm {
         log.info("term_began", "term" to number, "has_predecessor" to hasPredecessor)
         val now = clock.elapsed()
-        return LeaderTerm(number, Dispatcher(options, now, hasPredecessor), lastLeader, now).also(::refreshDispatcher)
+        lastTerm?.let(::abandonQuestions)
+        return LeaderTerm(
+            number,
+            Dispatcher(options, now, hasPredecessor),
+            lastLeader,
+            now,
+        ).also(::refreshDispatcher).also { lastTerm = it }
     }
 
     private fun refreshDispatcher(term: LeaderTerm) {
@@ -185,6 +301,7 @@
                 term.dispatcher.enginesToQuery(now)
             }
         logBeliefs(term, now)
+        signalChange(term)
         for (server in due) scope.launch { queryInventory(term, server) }
         while (true) {
             val order = synchronized(lock) { term.dispatcher.nextModelOrder(now) } ?: break
@@ -260,6 +377,7 @@
                     serverLock(term, order.server).withLock { executeLoad(term, order) }
                 } finally {
                     term.pendingOrders.remove(order.server to order.adapter)?.complete(Unit)
+                    signalChange(term)
                 }
             }.join()
     }
@@ -336,8 +454,7 @@
         private val ORDER_POLL = 5.milliseconds
         private const val MAX_LOADS = 3
 
-        /** How long a request waits for a free place; must be shorter than the time that entry instances wait for the answer. */
-        private val PLACE_TIMEOUT = 100.milliseconds
-        private val PLACE_POLL = 25.milliseconds
+        /** Bounds the wait for the queue in case its passes fail; shorter than the time that entry instances wait for the answer. */
+        private val QUESTION_TIMEOUT = 400.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -54,13 +54,14 @@
         running[number] = describe
     }
 
-    /** Records that request [number] has reached [step]. */
+    /** Records that request [number] has reached [step]; [outputTokens] is the length of its answer if it has ended and that is known. */
     public fun recordStep(
         number: Long,
         step: RequestStep,
+        outputTokens: Int? = null,
     ) {
         if (step != RequestStep.ANSWERING) running.remove(number)
-        events.trySend(RequestEvent(number, step))
+        events.trySend(RequestEvent(number, step, outputTokens))
     }
 
     private fun sendBatch(first: RequestEvent) {
--- a/gateway/src/test/kotlin/anvilslip/gateway/AdmissionClientSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/AdmissionClientSpec.kt
@@ -11,7 +11,11 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class AdmissionClientSpec :
@@ -47,6 +51,41 @@
             }
         }
 
+        describe("a request that waits at the leader") {
+            /** Clients of a leader that gives [answers] in turn, and records the requests that it is asked about in [asked]. */
+            fun clientOf(
+                answers: ArrayDeque<DispatchDecision>,
+                asked: MutableList<DispatchRequest>,
+                withdrawn: MutableList<Long>,
+            ): AdmissionClient {
+                val view = ClusterView({ ServingConfiguration(1).right() }, clock, emptySet(), heartbeat = 1.seconds)
+                view.observeLeader("c", 3)
+                val peers =
+                    PeerCaller { _, message, _ ->
+                        asked += (message as PeerMessage.Admit).demand
+                        clock.time += 300.milliseconds
+                        val answer = answers.removeFirstOrNull() ?: awaitCancellation()
+                        PeerMessage.AdmitReply(3, answer).right()
+                    }
+                return AdmissionClient(peers, view, LocalDispatch(view) { 0 }, clock, withdrawn::add)
+            }
+
+            it("is asked for again with the same number and what remains of its time") {
+                val asked = ArrayList<DispatchRequest>()
+                val answers = ArrayDeque(listOf(DispatchDecision.Wait, DispatchDecision.Wait, send))
+                clientOf(answers, asked, ArrayList()).admit(request).decision shouldBe send
+                asked.map { it.number }.distinct() shouldContainExactly listOf(7L)
+                asked.map { it.remainingMillis } shouldContainExactly listOf(5000L, 4700L, 4400L)
+            }
+
+            it("is withdrawn if its client leaves") {
+                val withdrawn = ArrayList<Long>()
+                val client = clientOf(ArrayDeque(listOf(DispatchDecision.Wait)), ArrayList(), withdrawn)
+                withTimeoutOrNull(100.milliseconds) { client.admit(request) } shouldBe null
+                withdrawn shouldContainExactly listOf(7L)
+            }
+        }
+
         describe("a request that the leader admitted") {
             it("is not withdrawn") {
                 val withdrawn = ArrayList<Long>()
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -7,6 +7,7 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.EngineInventory
 import anvilslip.policy.EngineProfile
+import anvilslip.policy.LoadedModel
 import anvilslip.policy.ModelProfile
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
@@ -22,6 +23,8 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
@@ -73,6 +76,97 @@
             }
         }
 
+        describe("a leader of many busy engines") {
+            val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
+            val profile = EngineProfile(1, 100_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
+            val engines = ServingConfiguration(1, services = mapOf("llm" to BackendService("llm", 100, profile)))
+
+            fun view(term: Long) =
+                ReplicaView(ReplicaId("c", "x"), ReplicaRole.LEADER, term = term, leaseUntil = SystemClock.elapsed() + 1.minutes)
+
+            fun engineRequest(number: Long) =
+                DispatchRequest("e", number, "llm", null, 0, "z1", 1000, remainingMillis = 5000, model = "m", promptTokens = 100)
+
+            /** A leader of 32 engines, each of which runs one request. */
+            suspend fun busyLeader(view: () -> ReplicaView): LeaderDispatch {
+                val clusterView = ClusterView({ engines.right() }, SystemClock, emptySet(), heartbeat = 10.seconds)
+                clusterView.applyDocument(ConfigurationDocument(1, "text"))
+                for (i in 1..32) {
+                    val models = listOf(LoadedModel("m", emptyMap()))
+                    clusterView.recordReport(ServerReport("s$i", "llm", "s$i:80", "z1", ServerPhase.READY, 1, 1, 1, models), direct = true)
+                }
+                val watches = WatchResponder("c", "x", clusterView, view, SystemClock)
+                val handover = OrderHandover(Duration.ZERO, false)
+                val leader =
+                    LeaderDispatch(view, clusterView, watches, ScriptedEngineClient(), DispatchOptions(), handover, SystemClock)
+                leader.start()
+                for (number in 1L..32L) {
+                    val reply = leader.admit(engineRequest(number)).shouldBeInstanceOf<PeerMessage.AdmitReply>()
+                    reply.decision.shouldBeInstanceOf<DispatchDecision.Send>()
+                }
+                return leader
+            }
+
+            fun PeerMessage.decision() = shouldBeInstanceOf<PeerMessage.AdmitReply>().decision
+
+            it("sends a waiting request as soon as one of them has room") {
+                val leading = view(3)
+                val leader = busyLeader { leading }
+                coroutineScope {
+                    val answer = async { leader.admit(engineRequest(33)) }
+                    delay(50.milliseconds)
+                    answer.isCompleted shouldBe false
+                    leader.recordProgress(ended(1))
+                    answer.await().decision().shouldBeInstanceOf<DispatchDecision.Send>()
+                }
+                leader.stop()
+            }
+
+            // Guards against a request that entry instances take to be lost, because they wait 450 ms for an answer.
+            it("tells the entry instance to ask again, and sends nothing that no entry instance asks for") {
+                val leading = view(3)
+                val leader = busyLeader { leading }
+                leader.admit(engineRequest(33)).decision() shouldBe DispatchDecision.Wait
+                leader.recordProgress(ended(1))
+                delay(100.milliseconds)
+                leader.runningRequests shouldBe 31
+                leader.admit(engineRequest(33)).decision().shouldBeInstanceOf<DispatchDecision.Send>()
+                leader.stop()
+            }
+
+            it("forgets a request whose client has left") {
+                val leading = view(3)
+                val leader = busyLeader { leading }
+                coroutineScope {
+                    val left = async { leader.admit(engineRequest(33)) }
+                    val withdrawn = async { leader.admit(engineRequest(34)) }
+                    delay(50.milliseconds)
+                    left.cancel()
+                    leader.recordProgress(ended(34))
+                    withdrawn.await().shouldBeInstanceOf<PeerMessage.NotLeader>()
+                }
+                leader.recordProgress(ended(1))
+                delay(100.milliseconds)
+                leader.runningRequests shouldBe 31
+                leader.stop()
+            }
+
+            it("that loses its lease answers the entry instances of waiting requests, which ask the next leader") {
+                var leading = view(3)
+                val leader = busyLeader { leading }
+                coroutineScope {
+                    val answer = async { leader.admit(engineRequest(33)) }
+                    delay(50.milliseconds)
+                    leading = leading.copy(leaseUntil = Duration.ZERO)
+                    answer.await().shouldBeInstanceOf<PeerMessage.NotLeader>()
+                }
+                leading = view(4)
+                leader.admit(engineRequest(33)).decision().shouldBeInstanceOf<DispatchDecision.Send>()
+                leader.runningRequests shouldBe 1
+                leader.stop()
+            }
+        }
+
         describe("a leader in which something fails once") {
             val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
             val profile = EngineProfile(4, 1_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
--- a/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
@@ -65,16 +65,18 @@
             .labelNames(*labels)
             .register(registry)
 
-    private fun gauge(
+    /** Creates and registers a gauge. */
+    public fun gauge(
         name: String,
         help: String,
         vararg labels: String,
-    ) = Gauge
-        .builder()
-        .name(name)
-        .help(help)
-        .labelNames(*labels)
-        .register(registry)
+    ): Gauge =
+        Gauge
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .register(registry)
 
     /** Creates and registers a histogram with classic buckets. */
     public fun histogram(
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -0,0 +1,291 @@
+package anvilslip.policy
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Decides when the leader answers the question of an entry instance for a server: at once, or after the request has waited until
+ * it can start. Deterministic: uses no threads and no clock of its own.
+ *
+ * Requests of services with many engines wait in an [AdmissionQueue] until their deadline. With few engines, a request waits only for a
+ * free adapter place, and only for a moment, because a place seldom becomes free within its target.
+ */
+public class AdmissionControl(
+    private val dispatcher: Dispatcher,
+    private val options: AdmissionOptions = AdmissionOptions(),
+) {
+    /** What the leader answers to the pending question about the request [key], which waited for [waited]. */
+    public data class Answer(
+        val key: RequestKey,
+        val admission: Admission,
+        val priority: Int,
+        val waited: Duration,
+    )
+
+    private val queues = LinkedHashMap<String, AdmissionQueue>()
+    private val answers = ArrayList<Answer>()
+    private var isPassDue = false
+    private var lastPassAt = -options.passInterval
+
+    /** Number of waiting requests by priority. */
+    public val waitingByPriority: Map<Int, Int>
+        get() =
+            queues.values
+                .flatMap { it.sizes().entries }
+                .groupBy({ it.key }, { it.value })
+                .mapValues { it.value.sum() }
+
+    /** Time at which [wake] must be called next, unless an event comes first; null if nothing waits. */
+    public val nextWakeAt: Duration?
+        get() {
+            val earliest = lastPassAt + options.passInterval
+            if (isPassDue || answers.isNotEmpty()) return earliest
+            return queues.values
+                .mapNotNull { it.nextEventAt }
+                .minOrNull()
+                ?.let { maxOf(it, earliest) }
+        }
+
+    /**
+     * Decides on [request], which is as its entry instance stated it at [askedAt]. Returns null if it waits; [wake] then returns the answer.
+     *
+     * @param isReserved true if an adapter was loaded for the request, so that it does not wait behind others again
+     */
+    public fun ask(
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+        isReserved: Boolean = false,
+    ): Admission? {
+        val queue = queues.getOrPut(request.service) { AdmissionQueue(options, dispatcher::weightOf) }
+        val known = queue[RequestKey(request.entry, request.number)]
+        if (known != null) {
+            queue.resume(known, request, askedAt, now)
+            isPassDue = true
+            return null
+        }
+        if (isReserved || !dispatcher.isQueued(request.service) || !queue.hasWaiting(request.priority)) {
+            val admission = admitNow(request, askedAt, now, isReserved)
+            val refusal = admission.refusal() ?: return admission
+            if (!mayWait(queue, refusal, request, askedAt, now)) return refused(queue, request.after(now - askedAt), refusal)
+        } else if (!canStartBeforeDeadline(queue, request, askedAt, now)) {
+            return refused(queue, request.after(now - askedAt), DispatchDecision.Refuse(DispatchRefusal.BUSY, 0))
+        }
+        return enqueue(queue, request, askedAt, now)
+    }
+
+    /** Removes the request [key] if it waits, because its entry instance no longer asks for it. */
+    public fun withdraw(key: RequestKey) {
+        for (queue in queues.values) queue[key]?.let(queue::remove)
+    }
+
+    /** Records that a server may have room for a waiting request. Returns true if any request waits. */
+    public fun recordChange(): Boolean {
+        if (queues.values.all { it.size == 0 }) return false
+        for ((service, queue) in queues) if (dispatcher.isQueued(service)) queue.endPauses(options.triesPerPass)
+        isPassDue = true
+        return true
+    }
+
+    /** Removes all waiting requests without an answer, because this instance does not lead any more. */
+    public fun clear() {
+        queues.clear()
+        answers.clear()
+        isPassDue = false
+    }
+
+    /** Tries to start waiting requests, and returns the answers that are ready. */
+    public fun wake(now: Duration): List<Answer> {
+        lastPassAt = now
+        isPassDue = false
+        for ((service, queue) in queues) {
+            queue.advance(now)
+            if (dispatcher.isQueued(service)) tryInOrder(queue, now) else tryAll(queue, now)
+            answerWaiting(queue, now)
+            if (queue.hasReady) isPassDue = true
+        }
+        return answers.toList().also { answers.clear() }
+    }
+
+    private fun admitNow(
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+        isReserved: Boolean,
+    ): Admission {
+        val current = request.after(now - askedAt)
+        if (!isReserved || !dispatcher.isQueued(request.service)) return dispatcher.admit(current, now)
+        return dispatcher.admit(request, now, maxWait = current.remainingMillis.milliseconds - dispatcher.prefillTime(request))
+    }
+
+    private fun enqueue(
+        queue: AdmissionQueue,
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+    ): Admission? {
+        val work = request.promptTokens + dispatcher.expectedOutput(request) * options.decodeCost
+        val waiting = queue.add(request, askedAt, work, dispatcher.prefillTime(request), now)
+        if (dispatcher.isQueued(request.service)) {
+            queue.block(waiting, now + queue.pauseAfterFailure(waiting))
+        } else {
+            queue.block(waiting, now + options.placeRetry)
+        }
+        val excess = queue.removeExcess() ?: return null
+        val refusal = refused(queue, excess.requestAt(now), DispatchDecision.Refuse(DispatchRefusal.BUSY, 0))
+        if (excess === waiting) return refusal
+        if (excess.isAttended) answer(excess, refusal, now)
+        return null
+    }
+
+    private fun tryAll(
+        queue: AdmissionQueue,
+        now: Duration,
+    ) {
+        while (true) {
+            val waiting = queue.next() ?: return
+            val admission = dispatcher.admit(waiting.requestAt(now), now)
+            val refusal = admission.refusal()
+            if (refusal != null && mayWait(queue, refusal, waiting.request, waiting.askedAt, now)) {
+                queue.block(waiting, now + options.placeRetry)
+            } else {
+                queue.remove(waiting)
+                answer(waiting, admission, now)
+            }
+        }
+    }
+
+    private fun tryInOrder(
+        queue: AdmissionQueue,
+        now: Duration,
+    ) {
+        var agedTries = 0
+        repeat(options.triesPerPass) {
+            val isAged = queue.isAgedTurn && agedTries++ < AGED_TRIES_PER_PASS
+            val waiting = (if (isAged) queue.oldest() else queue.next()) ?: return
+            tryToStart(queue, waiting, isAged, now)
+        }
+    }
+
+    private fun tryToStart(
+        queue: AdmissionQueue,
+        waiting: WaitingRequest,
+        isAged: Boolean,
+        now: Duration,
+    ) {
+        val admission =
+            if (now > waiting.latestUsefulStartAt) {
+                Admission.Decided(DispatchDecision.Refuse(DispatchRefusal.BUSY, 0))
+            } else {
+                admitWaiting(waiting, isAged, now)
+            }
+        val refusal = admission.refusal()
+        if (refusal == null) {
+            queue.removePlaced(waiting, isAged)
+            answer(waiting, admission, now)
+        } else if (refusal.reason == DispatchRefusal.NO_SERVER || now > waiting.latestUsefulStartAt) {
+            queue.remove(waiting)
+            answer(waiting, refused(queue, waiting.requestAt(now), refusal), now)
+        } else {
+            val refill = refusal.waitMillis?.takeIf { refusal.reason == DispatchRefusal.OVER_LIMIT }?.milliseconds
+            queue.block(waiting, minOf(now + (refill ?: queue.pauseAfterFailure(waiting)), waiting.latestUsefulStartAt + 1.milliseconds))
+        }
+    }
+
+    /** A late request is started only where it waits little, so that it does not delay others beyond their targets. */
+    private fun admitWaiting(
+        waiting: WaitingRequest,
+        isAged: Boolean,
+        now: Duration,
+    ): Admission {
+        val request = waiting.requestAt(now)
+        if (!isAged && !waiting.isLate) return dispatcher.admit(request, now)
+        val maxWait = if (isAged) waiting.latestUsefulStartAt - now else waiting.target * options.lateWaitShare
+        return dispatcher.admit(request.copy(targetMillis = waiting.target.inWholeMilliseconds), now, maxWait)
+    }
+
+    private fun answerWaiting(
+        queue: AdmissionQueue,
+        now: Duration,
+    ) {
+        while (true) {
+            val waiting = queue.nextToAnswer(now) ?: return
+            queue.suspend(waiting, now)
+            answer(waiting, Admission.Decided(DispatchDecision.Wait), now)
+        }
+    }
+
+    private fun mayWait(
+        queue: AdmissionQueue,
+        refusal: DispatchDecision.Refuse,
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+    ): Boolean =
+        if (dispatcher.isQueued(request.service)) {
+            refusal.reason in QUEUED_REASONS && canStartBeforeDeadline(queue, request, askedAt, now)
+        } else {
+            refusal.reason == DispatchRefusal.LOADING && now - askedAt < options.placeTimeout
+        }
+
+    private fun canStartBeforeDeadline(
+        queue: AdmissionQueue,
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+    ): Boolean = now + expectedWait(queue, request) + dispatcher.prefillTime(request) <= askedAt + request.remainingMillis.milliseconds
+
+    /** Expected time until the queue has room for another request like [request]. */
+    private fun expectedWait(
+        queue: AdmissionQueue,
+        request: DispatchRequest,
+    ): Duration = (queue.workAhead(request.priority) / dispatcher.capacity(request.service).coerceAtLeast(1.0)).milliseconds
+
+    /**
+     * The refusal of [request]. Clients that are refused together get retry delays that differ by up to a quarter, so that they do not
+     * all return at the same time, and never more than a third of the time until the deadline.
+     */
+    private fun refused(
+        queue: AdmissionQueue,
+        request: DispatchRequest,
+        refusal: DispatchDecision.Refuse,
+    ): Admission {
+        if (!dispatcher.isQueued(request.service)) return Admission.Decided(refusal)
+        val wait = expectedWait(queue, request)
+        val retry = maxOf(wait, refusal.retryMillis.milliseconds, MIN_RETRY) * spread(request)
+        val limit = request.remainingMillis.milliseconds / MAX_RETRY_DIVISOR
+        val retryMillis = minOf(retry, limit).inWholeMilliseconds.coerceAtLeast(1)
+        return Admission.Decided(
+            refusal.copy(retryMillis = retryMillis, waitMillis = refusal.waitMillis ?: wait.inWholeMilliseconds),
+        )
+    }
+
+    /** Between 0.75 and 1.25, pseudo-random but always the same for the same request. */
+    private fun spread(request: DispatchRequest): Double {
+        val hash = (request.entry.hashCode() * HASH_FACTOR + request.number) * HASH_FACTOR
+        return MIN_SPREAD + (1 - MIN_SPREAD) * 2 * ((hash ushr HASH_SHIFT) % SPREAD_STEPS) / SPREAD_STEPS
+    }
+
+    private fun answer(
+        waiting: WaitingRequest,
+        admission: Admission,
+        now: Duration,
+    ) {
+        answers += Answer(waiting.key, admission, waiting.priority, now - waiting.since)
+    }
+
+    private fun Admission.refusal(): DispatchDecision.Refuse? = (this as? Admission.Decided)?.decision as? DispatchDecision.Refuse
+
+    private companion object {
+        val QUEUED_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY)
+
+        /** Requests tried out of order in one pass, of which the first may be one that cannot be placed. */
+        const val AGED_TRIES_PER_PASS = 2
+        const val MAX_RETRY_DIVISOR = 3
+        const val MIN_SPREAD = 0.75
+        const val SPREAD_STEPS = 1_000
+        const val HASH_FACTOR = -7046029254386353131L
+        const val HASH_SHIFT = 33
+        val MIN_RETRY = 50.milliseconds
+    }
+}
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
@@ -21,6 +21,11 @@
         @CborLabel(4) val version: Long? = null,
     ) : DispatchDecision
 
+    /** The request waits in the leader's queue. It keeps its place for a moment in which the entry instance has to ask again. */
+    @Serializable
+    @SerialName("wait")
+    public data object Wait : DispatchDecision
+
     /** Refuse the request. A retry after [retryMillis] may succeed. */
     @Serializable
     @SerialName("refuse")
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -10,6 +10,8 @@
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val speeds = HashMap<String, PrefillSpeed>()
+    private var readyServers: Map<String, Int> = emptyMap()
+    val outputEstimate = OutputEstimate()
     var configuration = ServingConfiguration(-1)
     var versions: Map<AdapterName, Long> = emptyMap()
 
@@ -31,8 +33,16 @@
                 else -> server.report = report
             }
         }
+        readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
     }
 
+    /** Number of ready servers of [service]. */
+    fun readyCount(service: String): Int = readyServers[service] ?: 0
+
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    fun isQueued(service: String): Boolean =
+        readyCount(service) >= options.minQueueEngines && configuration.services[service]?.engine != null
+
     /**
      * Servers that can run [request]; recently unreachable servers are included only if there are no others. Suspects run on different
      * servers if possible, so that an innocent one does not share the next crash with the one that causes it.
@@ -60,19 +70,34 @@
         request: DispatchRequest,
     ): Boolean {
         val engine = engineOf(server) ?: return true
-        return server.runningRequests < engine.slots && server.kvTokens + request.promptTokens < engine.kvCapacity * options.memoryShare
+        return server.runningRequests < engine.slots && server.kvTokens + kvUse(request) < engine.kvCapacity * options.memoryShare
     }
 
+    /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
+    fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
+
     /** Expected time until [server] starts [request], plus the penalty for a server in another zone. */
     fun cost(
         server: DispatchServer,
         request: DispatchRequest,
     ): Duration {
         val zone = if (server.report.zone == request.zone) Duration.ZERO else options.zonePenalty
-        if (request.model != null) return server.expectedWait(speed(server.report.service).tokensPerMillisecond) + zone
+        if (request.model != null) return expectedWait(server, request) + zone
         return queueTime(server) + RUNNING_COST * server.runningRequests + zone
     }
 
+    /** Without a queue, all pending tokens count, whatever their priority. */
+    private fun expectedWait(
+        server: DispatchServer,
+        request: DispatchRequest,
+    ): Duration {
+        val priority = if (isQueued(request.service)) request.priority else PendingTokens.LEAST_URGENT
+        return server.expectedWait(speed(server.report.service).tokensPerMillisecond, priority)
+    }
+
+    /** Time that an engine takes to process the prompt of [request]. */
+    fun prefillTime(request: DispatchRequest): Duration = (request.promptTokens / speed(request.service).tokensPerMillisecond).milliseconds
+
     /** Expected time that a plain request waits for a free slot on [server]. */
     fun queueTime(server: DispatchServer): Duration {
         val queued = maxOf(0, server.runningRequests - server.report.slots + 1)
@@ -87,7 +112,7 @@
         wait: Duration,
         request: DispatchRequest,
     ): Boolean {
-        val prefillTime = (request.promptTokens / speed(request.service).tokensPerMillisecond).milliseconds
+        val prefillTime = prefillTime(request)
         return wait + prefillTime > minOf(request.targetMillis, request.remainingMillis).milliseconds * options.waitShare &&
             wait > prefillTime
     }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -21,6 +21,8 @@
     val loadsPerServer: Int = 4,
     /** Number of most recently evicted adapters that a server can reload quickly. */
     val warmAdapters: Int = 24,
+    /** Ready engines of a service from which on its requests wait in an [AdmissionQueue] until their deadline. */
+    val minQueueEngines: Int = 32,
     /** Time that an additional copy of an adapter must save to be worth loading. */
     val copyThreshold: Duration = 400.milliseconds,
     /** Share of a request's target that it may wait for a server with its adapter before another copy is considered. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -19,9 +19,9 @@
     var runningSuspects = 0
 
     /** Prompt tokens sent to the server that it has not processed yet. */
-    var pendingPromptTokens = 0
+    val pendingPromptTokens = PendingTokens()
 
-    /** KV cache tokens used by running requests. */
+    /** KV cache tokens that running requests use, or are expected to use when they end. */
     var kvTokens = 0
 
     /** Number of orders that the server has accepted; null until its inventory is known. */
@@ -41,9 +41,13 @@
 
     fun holdsModel(model: String): Boolean = model in inventoryModels || report.models.orEmpty().any { it.name == model }
 
-    fun expectedWait(tokensPerMillisecond: Double): Duration =
+    /** Expected time until the server starts a request of [priority]; engines start more urgent requests first. */
+    fun expectedWait(
+        tokensPerMillisecond: Double,
+        priority: Int,
+    ): Duration =
         (
-            pendingPromptTokens / tokensPerMillisecond +
+            pendingPromptTokens.upTo(priority) / tokensPerMillisecond +
                 runningRequests * MILLIS_PER_RUNNING_REQUEST
         ).milliseconds
 
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -26,6 +26,9 @@
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
 
+    private var weights: Map<String, Double> = emptyMap()
+    private var meanWeight = 1.0
+
     /** Number of requests sent to servers that have not ended. */
     public val runningRequests: Int get() = tracker.size
 
@@ -38,6 +41,9 @@
         fleet.versions = versions
         if (next.version == fleet.configuration.version) return
         fleet.configuration = next
+        weights =
+            next.workspaces.filter { it.ratePerSecond > 0 }.associate { it.name to it.ratePerSecond * it.charge(MEAN_TOKENS) / MEAN_TOKENS }
+        meanWeight = weights.values.average().takeIf { weights.isNotEmpty() } ?: 1.0
         limits.configure(next.workspaces, now)
     }
 
@@ -119,15 +125,35 @@
     /** Removes requests whose deadline has passed and whose end was not reported. */
     public fun expire(now: Duration): Unit = tracker.expire(now)
 
-    /** Decides whether and where to run [request]. */
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    internal fun isQueued(service: String): Boolean = fleet.isQueued(service)
+
+    /** Time that an engine takes to process the prompt of [request]. */
+    internal fun prefillTime(request: DispatchRequest): Duration = fleet.prefillTime(request)
+
+    /** Output tokens that [request] is expected to produce. */
+    internal fun expectedOutput(request: DispatchRequest): Int = fleet.outputEstimate.expected(request)
+
+    /** Prompt tokens per millisecond that the ready engines of [service] process together. */
+    internal fun capacity(service: String): Double = fleet.speed(service).tokensPerMillisecond * fleet.readyCount(service)
+
+    /** Weight of [workspace] for fair queueing: its rate limit, or the mean of all limits if it has none. */
+    internal fun weightOf(workspace: String): Double = weights[workspace] ?: meanWeight
+
+    /**
+     * Decides whether and where to run [request].
+     *
+     * @param maxWait expected wait on an engine above which the request is refused; null for what its target allows
+     */
     public fun admit(
         request: DispatchRequest,
         now: Duration,
+        maxWait: Duration? = null,
     ): Admission {
         val wait = limits.waitTime(request.workspace, request.charge, now)
         val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
-        val admission = place(request, wait, now)
+        val admission = place(request, wait, maxWait, now)
         val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
         if (sent) limits.spend(request.workspace, request.charge, now)
         return admission
@@ -136,6 +162,7 @@
     private fun place(
         request: DispatchRequest,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val candidates = fleet.candidates(request, now)
@@ -145,8 +172,8 @@
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
         val withMemory = holders.filter { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
-        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.cost(it, request) }, limitWait, null, now)
-        return placeAdapter(request, model, adapter, withMemory, limitWait, now)
+        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.cost(it, request) }, limitWait, null, maxWait, now)
+        return placeAdapter(request, model, adapter, withMemory, limitWait, maxWait, now)
     }
 
     private fun placePlain(
@@ -158,7 +185,7 @@
         val best = servers.minBy { fleet.cost(it, request) }
         val wait = fleet.queueTime(best)
         if (wait > request.targetMillis.milliseconds * options.waitShare) return refuse(DispatchRefusal.BUSY, wait / 2, servers.size, wait)
-        return send(request, best, limitWait, null, now)
+        return send(request, best, limitWait, null, null, now)
     }
 
     private fun placeAdapter(
@@ -167,6 +194,7 @@
         adapter: String,
         servers: List<DispatchServer>,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val version = fleet.currentVersion(model, adapter)
@@ -178,10 +206,17 @@
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
             val slot = holder.adapterSlots.getValue(adapter)
             if (slot.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
-            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, now)
+            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, maxWait, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (fleet.isTooLate(loadCost, request)) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        if (isTooLate(
+                loadCost,
+                request,
+                maxWait,
+            )
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        }
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
@@ -196,15 +231,26 @@
         server: DispatchServer,
         hold: Duration,
         version: Long?,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
         val wait = fleet.cost(server, request) + holdTime
-        if (request.model != null && fleet.isTooLate(wait, request)) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
+        if (request.model != null &&
+            isTooLate(wait, request, maxWait)
+        ) {
+            return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
+        }
         tracker.recordSent(request, server, now)
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
+    private fun isTooLate(
+        wait: Duration,
+        request: DispatchRequest,
+        maxWait: Duration?,
+    ): Boolean = if (maxWait != null) wait > maxWait else fleet.isTooLate(wait, request)
+
     /** Retry delay: short enough to meet the target if the queue shrinks meanwhile, because later answers are worth less to the client. */
     private fun retryAfter(
         wait: Duration,
@@ -225,6 +271,8 @@
     }
 
     private companion object {
+        /** Tokens of a typical request, which relates limits in requests to limits in tokens. */
+        const val MEAN_TOKENS = 1_000L
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/RequestEvent.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestEvent.kt
@@ -11,4 +11,6 @@
 public data class RequestEvent(
     @CborLabel(1) val number: Long,
     @CborLabel(2) val step: RequestStep,
+    /** Number of output tokens of an answer that has ended; null if it is not known. */
+    @CborLabel(3) val outputTokens: Int? = null,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -20,6 +20,8 @@
         val sentAt: Duration,
         val expiresAt: Duration,
         val isSuspect: Boolean = false,
+        val priority: Int = 0,
+        val request: DispatchRequest? = null,
     )
 
     private val requests = HashMap<Pair<String, Long>, TrackedRequest>()
@@ -41,10 +43,12 @@
                 workspace = request.workspace,
                 charge = request.charge,
                 pendingTokens = promptTokens,
-                kvTokens = promptTokens,
+                kvTokens = fleet.kvUse(request),
                 sentAt = now,
                 expiresAt = expiresAt,
                 isSuspect = request.isSuspect,
+                priority = request.priority,
+                request = request,
             )
         track(request.entry to request.number, server, tracked, now)
     }
@@ -61,7 +65,19 @@
             if (key in requests) continue
             val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
             val promptTokens = request.promptTokens
-            track(key, server, TrackedRequest(request.server, request.adapter, null, 0, promptTokens, promptTokens, now, expiresAt), now)
+            val tracked =
+                TrackedRequest(
+                    server = request.server,
+                    adapter = request.adapter,
+                    workspace = null,
+                    charge = 0,
+                    pendingTokens = promptTokens,
+                    kvTokens = promptTokens,
+                    sentAt = now,
+                    expiresAt = expiresAt,
+                    priority = request.priority,
+                )
+            track(key, server, tracked, now)
         }
     }
 
@@ -87,6 +103,7 @@
 
             RequestStep.ENDED -> {
                 remove(key, tracked)
+                if (tracked.request != null && event.outputTokens != null) fleet.outputEstimate.observe(tracked.request, event.outputTokens)
             }
 
             RequestStep.NOT_RUN, RequestStep.NOT_HELD, RequestStep.UNREACHABLE -> {
@@ -118,7 +135,7 @@
         requests[key] = tracked
         server.runningRequests++
         if (tracked.isSuspect) server.runningSuspects++
-        server.pendingPromptTokens += tracked.pendingTokens
+        server.pendingPromptTokens.add(tracked.priority, tracked.pendingTokens)
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
         slot.inFlight++
@@ -126,7 +143,7 @@
     }
 
     private fun markPromptProcessed(tracked: TrackedRequest) {
-        fleet[tracked.server]?.let { it.pendingPromptTokens -= tracked.pendingTokens }
+        fleet[tracked.server]?.let { it.pendingPromptTokens.add(tracked.priority, -tracked.pendingTokens) }
         tracked.pendingTokens = 0
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/RunningRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RunningRequest.kt
@@ -18,4 +18,6 @@
     @CborLabel(5) val promptTokens: Int,
     /** Time in milliseconds until the deadline of the request. */
     @CborLabel(6) @SerialName("leftMillis") val remainingMillis: Long,
+    /** 0 is the most urgent. */
+    @CborLabel(7) val priority: Int = 0,
 )
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
@@ -0,0 +1,55 @@
+package anvilslip.policy
+
+import java.util.TreeSet
+
+/** The waiting requests of one workspace and priority. */
+internal class WorkspaceQueue(
+    val name: String,
+) {
+    /** Tokens placed, divided by the weight of the workspace; the workspace with the lowest value is served next. */
+    var virtualTime = 0.0
+
+    /** Work of all members. */
+    var waitingWork = 0L
+
+    /** All requests that wait, in the order in which they would be served. */
+    val members = TreeSet(SERVICE_ORDER)
+
+    /** Members that cannot meet their target any more, by the time at which they joined the queue. */
+    val lateByAge = TreeSet(compareBy<WaitingRequest> { it.sequence })
+
+    /**
+     * The member to refuse if the queue is full. With a full queue, late requests are served by the turns of the longest waiting
+     * ones, so the youngest would be served last. The one with the most work would always be among the largest prompts.
+     */
+    val last: WaitingRequest get() = lateByAge.lastOrNull() ?: members.last()
+
+    fun add(request: WaitingRequest) {
+        members += request
+        if (request.isLate) lateByAge += request
+    }
+
+    fun remove(request: WaitingRequest): Boolean {
+        lateByAge -= request
+        return members.remove(request)
+    }
+
+    /** Members that can be tried now and can still meet their target. */
+    val onTime = TreeSet(SERVICE_ORDER)
+
+    /** Members that can be tried now but cannot meet their target any more. */
+    val late = TreeSet(SERVICE_ORDER)
+
+    companion object {
+        /** Requests that can meet their target by target, then the others by work per remaining time. */
+        val SERVICE_ORDER: Comparator<WaitingRequest> =
+            Comparator { a, b ->
+                when {
+                    a.isLate != b.isLate -> a.isLate.compareTo(b.isLate)
+                    a.isLate && a.urgencyCost != b.urgencyCost -> a.urgencyCost.compareTo(b.urgencyCost)
+                    !a.isLate && a.targetAt != b.targetAt -> a.targetAt.compareTo(b.targetAt)
+                    else -> a.sequence.compareTo(b.sequence)
+                }
+            }
+    }
+}
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
@@ -17,6 +17,9 @@
     val surgeFactor: Double = 1.0,
     /** Whether only the first workspace takes part in the surge. */
     val surgeInOneWorkspace: Boolean = false,
+    /** Index of the only kind of request that takes part in the surge, by [surgeKindFactor]; null for none. */
+    val surgeKind: Int? = null,
+    val surgeKindFactor: Double = 1.0,
     /** Whether adapters are requested uniformly during the surge, so that nearly every request needs a different one. */
     val uniformAdapters: Boolean = false,
     /** Share of requests during the surge whose clients retry up to three times, 20 ms after each refusal. */
@@ -41,5 +44,20 @@
                 DispatchLoad("engines-leave", drainAt = 12.seconds, drainingEngines = 2),
                 DispatchLoad("cold-restart", restartAt = 12.seconds, restartingEngines = 3),
             )
+
+        /** Loads of a deployment of [engines] engines with [TrialKind.BY_PRIORITY]. */
+        public fun ofManyEngines(engines: Int): List<DispatchLoad> {
+            val rate = engines * REQUESTS_PER_ENGINE
+            val usual = DispatchLoad("usual", rate, surgeFrom = 8.seconds, surgeTo = 20.seconds, duration = 26.seconds)
+            return listOf(
+                usual,
+                usual.copy(name = "one-kind", surgeKind = 0, surgeKindFactor = 2.3),
+                usual.copy(name = "one-workspace", surgeFactor = 10.0, surgeInOneWorkspace = true),
+                usual.copy(name = "quarter-leaves", drainAt = 8.seconds, drainingEngines = engines / 4),
+            )
+        }
+
+        /** Requests per second for each engine: 378 on 98 engines, where demand rises by 0.55 in waves. */
+        private const val REQUESTS_PER_ENGINE = 3.9
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
@@ -1,9 +1,9 @@
 package anvilslip.standin
 
 import anvilslip.policy.Admission
+import anvilslip.policy.AdmissionControl
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
-import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.Dispatcher
 import anvilslip.policy.EngineInventory
@@ -12,6 +12,7 @@
 import anvilslip.policy.LoadedModel
 import anvilslip.policy.ModelProfile
 import anvilslip.policy.RequestEvent
+import anvilslip.policy.RequestKey
 import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerPhase
 import anvilslip.policy.ServerReport
@@ -39,7 +40,10 @@
         val number: Long,
         val receivedAt: Duration,
         val exclude: Set<String> = emptySet(),
-    )
+    ) {
+        /** When the leader was asked last. */
+        var askedAt = receivedAt
+    }
 
     private val time = VirtualTime()
     private val store = WeightStoreModel()
@@ -47,6 +51,9 @@
         (0 until options.engines).map { Engine(EngineModel("engine-$it", "az${it % options.zones}", options.engine, store, time)) }
     private val byName = engines.associateBy { it.model.name }
     private val dispatcher = Dispatcher(options.dispatch, Duration.ZERO, hasPredecessor = false)
+    private val admissions = AdmissionControl(dispatcher, options.admission.copy(placeTimeout = options.placementWait))
+    private val waiting = HashMap<RequestKey, Attempt>()
+    private var wakeAt: Duration? = null
     private val clients = TrialClients(options, load, seed, time, ::sendFirstAttempt)
     private var lastAttemptNumber = 0L
     private var sequence = 0L
@@ -96,6 +103,7 @@
     private fun tick() {
         reportServers()
         dispatcher.expire(time.now)
+        recordChange()
         for (server in dispatcher.enginesToQuery(time.now)) {
             val engine = byName.getValue(server.id).model
             val loaded = listOf(LoadedModel(MODEL, engine.adapters.associateWith { 1L }))
@@ -124,9 +132,10 @@
     /** Admits the first attempt for [request]. */
     private fun sendFirstAttempt(request: TrialRequest) = admit(Attempt(request, ++lastAttemptNumber, time.now))
 
+    /** The request as it is when the leader is asked. */
     private fun dispatchRequest(attempt: Attempt): DispatchRequest {
         val request = attempt.request
-        val waited = time.now - attempt.receivedAt
+        val waited = attempt.askedAt - attempt.receivedAt
         return DispatchRequest(
             entry = ENTRY,
             number = attempt.number,
@@ -134,22 +143,52 @@
             workspace = "w${request.workspace}",
             charge = if (attempt.exclude.isEmpty()) request.charge else 0,
             zone = request.zone,
-            targetMillis = (options.targetLatency - waited).inWholeMilliseconds,
-            remainingMillis = (request.deadline - time.now).inWholeMilliseconds,
+            targetMillis = (request.target - waited).inWholeMilliseconds,
+            remainingMillis = (request.deadline - attempt.askedAt).inWholeMilliseconds,
             model = MODEL,
             adapter = request.adapter,
             promptTokens = request.promptTokens,
             exclude = attempt.exclude,
+            priority = request.priority,
+            maxOutputTokens = request.outputTokens * MAX_OUTPUT_FACTOR,
+            lengthHint = request.lengthHint,
         )
     }
 
-    private fun admit(attempt: Attempt) {
-        val now = time.now
-        when (val admission = dispatcher.admit(dispatchRequest(attempt), now)) {
-            is Admission.Load -> executeOrder(attempt, admission.order)
-            is Admission.AwaitOrder -> time.at(now + ORDER_TIME) { admit(attempt) }
-            is Admission.Decided -> handleDecision(attempt, admission.decision)
-        }
+    private fun admit(
+        attempt: Attempt,
+        isReserved: Boolean = false,
+    ) {
+        val request = dispatchRequest(attempt)
+        val admission = admissions.ask(request, attempt.askedAt, time.now, isReserved)
+        if (admission == null) waiting[RequestKey(request.entry, request.number)] = attempt else handleAdmission(attempt, admission)
+        scheduleWake()
+    }
+
+    private fun handleAdmission(
+        attempt: Attempt,
+        admission: Admission,
+    ) = when (admission) {
+        is Admission.Load -> executeOrder(attempt, admission.order)
+        is Admission.AwaitOrder -> time.at(time.now + ORDER_TIME) { admit(attempt, isReserved = true) }
+        is Admission.Decided -> handleDecision(attempt, admission.decision)
+    }
+
+    private fun scheduleWake() {
+        val next = admissions.nextWakeAt ?: return
+        if (wakeAt?.let { it <= next } == true) return
+        wakeAt = next
+        time.at(next) { if (wakeAt == next) wake() }
+    }
+
+    private fun wake() {
+        wakeAt = null
+        for (answer in admissions.wake(time.now)) waiting.remove(answer.key)?.let { handleAdmission(it, answer.admission) }
+        scheduleWake()
+    }
+
+    private fun recordChange() {
+        if (admissions.recordChange()) scheduleWake()
     }
 
     private fun handleDecision(
@@ -163,10 +202,15 @@
             }
 
             is DispatchDecision.Refuse -> {
-                val canWait = decision.reason == DispatchRefusal.LOADING && now - attempt.receivedAt < options.placementWait
-                if (canWait) return time.at(now + PLACEMENT_POLL) { admit(attempt) }
                 clients.handleRefusal(attempt.request, decision.reason, decision.retryMillis.milliseconds)
             }
+
+            DispatchDecision.Wait -> {
+                time.at(now + NETWORK_DELAY * 2) {
+                    attempt.askedAt = time.now
+                    if (time.now < attempt.request.deadline) admit(attempt)
+                }
+            }
         }
     }
 
@@ -184,7 +228,8 @@
             engine.load(order.adapter)
             dispatcher.recordLoadStarted(order, engine.ordersReceived, time.now)
         }
-        time.at(time.now + ORDER_TIME) { admit(attempt) }
+        recordChange()
+        time.at(time.now + ORDER_TIME) { admit(attempt, isReserved = true) }
     }
 
     private fun sendToEngine(
@@ -195,7 +240,11 @@
         val engine = byName.getValue(server)
 
         fun recordStep(step: RequestStep) =
-            time.at(time.now + NETWORK_DELAY * 2) { dispatcher.applyEvents(ENTRY, listOf(RequestEvent(attempt.number, step)), time.now) }
+            time.at(time.now + NETWORK_DELAY * 2) {
+                val outputTokens = request.outputTokens.takeIf { step == RequestStep.ENDED }
+                dispatcher.applyEvents(ENTRY, listOf(RequestEvent(attempt.number, step, outputTokens)), time.now)
+                recordChange()
+            }
         val engineRun =
             EngineRun(
                 adapter = request.adapter,
@@ -206,6 +255,7 @@
                     clients.recordAnswer(request, time.now + NETWORK_DELAY)
                 },
                 onCompleted = { recordStep(RequestStep.ENDED) },
+                priority = request.priority,
             )
         if (engine.phase != ServerPhase.GONE && engine.model.submit(engineRun)) return
         val step = if (engine.phase == ServerPhase.GONE) RequestStep.UNREACHABLE else RequestStep.NOT_HELD
@@ -219,10 +269,12 @@
         const val SERVICE = "llm"
         const val MODEL = "m"
         const val MAX_ATTEMPTS = 3
+
+        /** Clients allow more output than answers use. */
+        const val MAX_OUTPUT_FACTOR = 4
         val TICK = 100.milliseconds
         val NETWORK_DELAY = 4.milliseconds
         val ORDER_TIME = 3.milliseconds
-        val PLACEMENT_POLL = 25.milliseconds
         val DRAIN_NOTICE = 2.seconds
 
         /** Time that the simulation runs on after the last arrival, so that outstanding requests can finish. */
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -1,5 +1,6 @@
 package anvilslip.standin
 
+import anvilslip.policy.AdmissionOptions
 import anvilslip.policy.DispatchOptions
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -19,7 +20,9 @@
     val workspaces: List<Double> = listOf(0.45, 0.30, 0.15, 0.07, 0.03),
     /** Rate limit of a workspace in tokens per second, as a multiple of its mean demand. */
     val limitFactor: Double = 1.8,
+    val kinds: List<TrialKind> = TrialKind.DEFAULT,
     val targetLatency: Duration = 1.seconds,
     /** Maximum time that a request waits at the leader while its adapter is loaded. */
     val placementWait: Duration = 100.milliseconds,
+    val admission: AdmissionOptions = AdmissionOptions(),
 )
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
@@ -15,6 +15,21 @@
             "read" to { it.readShare },
         )
 
+    private val priorityColumns: List<Pair<String, (TrialPriorityResult) -> Double>> =
+        listOf(
+            "worth" to { it.worth },
+            "on time" to { it.onTime },
+            "late" to { it.late },
+            "unserved" to { it.unserved },
+            "refusals" to { it.refusals },
+        )
+
+    /** Returns a Markdown table of [results] with one row per load and priority. */
+    public fun priorityTable(results: List<DispatchTrialResult>): String {
+        val rows = results.flatMap { result -> result.byPriority.map { (priority, of) -> listOf(result.load, "$priority") to of } }
+        return SpreadTable(listOf("load", "priority"), priorityColumns, digits = 3).of(rows.groupBy({ it.first }, { it.second }))
+    }
+
     /** Returns a Markdown table of [results] with one row per load. */
     public fun table(results: List<DispatchTrialResult>): String =
         SpreadTable(listOf("load"), columns, digits = 3).of(results.groupBy { listOf(it.load) })
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -23,6 +23,7 @@
     val worstKind: Double,
     /** Loads from the weight store per hundred requests. */
     val fetches: Double,
+    val byPriority: Map<Int, TrialPriorityResult>,
     /** Prefilled tokens divided by the prompt tokens of all answered requests. */
     val readShare: Double,
 ) {
--- a/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
@@ -40,7 +40,7 @@
     /** Queues [run]; returns false if its adapter is not loaded. */
     public fun submit(run: EngineRun): Boolean {
         if (run.adapter != null && run.adapter !in loaded) return false
-        waiting += run
+        insertByPriority(waiting, run)
         scheduleStep()
         return true
     }
@@ -97,10 +97,15 @@
             if (used > 0 && used + waiting.first().kvTokens > options.kvCapacityTokens) return
             val run = waiting.removeFirst()
             run.tokensToPrefill = run.promptTokens - cachedPromptTokens(run)
-            prefilling += run
+            insertByPriority(prefilling, run)
         }
     }
 
+    private fun insertByPriority(
+        runs: ArrayDeque<EngineRun>,
+        run: EngineRun,
+    ) = runs.add(runs.indexOfLast { it.priority <= run.priority } + 1, run)
+
     private fun cacheKey(
         run: EngineRun,
         part: String,
--- a/standin/src/main/kotlin/anvilslip/standin/EngineRun.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/EngineRun.kt
@@ -11,6 +11,8 @@
     public val onFirstToken: () -> Unit,
     /** Called when the last token is generated. */
     public val onCompleted: () -> Unit,
+    /** Runs of a more urgent priority are prefilled first; 0 is the most urgent. */
+    public val priority: Int = 0,
 ) {
     /** Number of prompt tokens. */
     public val promptTokens: Int = parts.sumOf { it.second }
--- a/standin/src/main/kotlin/anvilslip/standin/Main.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Main.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
+import anvilslip.policy.DispatchOptions
 import anvilslip.settings.Address
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
@@ -206,12 +207,24 @@
     val seeds by option(ArgType.Int, "seeds").default(10)
     val load by option(ArgType.String, "load", description = "Name of one load (default: all)")
     val engines by option(ArgType.Int, "engines").default(DispatchTrialOptions().engines)
+    val priorities by option(ArgType.Boolean, "priorities", description = "Requests of three priorities").default(false)
+    val noQueue by option(ArgType.Boolean, "no-queue", description = "Without a queue for admission").default(false)
 
     override fun execute() {
+        if (priorities) return runWithPriorities()
         val options = DispatchTrialOptions(engines = engines)
         val loads = DispatchLoad.ALL.filter { load == null || it.name == load }
         println(DispatchTrialReport.table(loads.flatMap { each -> (1L..seeds).map { DispatchTrial(options, each, it).run() } }))
     }
+
+    private fun runWithPriorities() {
+        val dispatch = if (noQueue) DispatchOptions(minQueueEngines = Int.MAX_VALUE) else DispatchOptions()
+        val options = DispatchTrialOptions(engines = engines, kinds = TrialKind.BY_PRIORITY, dispatch = dispatch)
+        val loads = DispatchLoad.ofManyEngines(engines).filter { load == null || it.name == load }
+        val results = loads.flatMap { each -> (1L..seeds).map { DispatchTrial(options, each, it).run() } }
+        println(DispatchTrialReport.table(results))
+        println(DispatchTrialReport.priorityTable(results))
+    }
 }
 
 @OptIn(ExperimentalCli::class)
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -1,6 +1,7 @@
 package anvilslip.standin
 
 import anvilslip.policy.DispatchRefusal
+import kotlin.math.exp
 import kotlin.math.ln
 import kotlin.math.pow
 import kotlin.random.Random
@@ -17,17 +18,6 @@
     private val time: VirtualTime,
     private val send: (TrialRequest) -> Unit,
 ) {
-    /** A kind of request: its share of the traffic, its number of shared prompt prefixes ([variants]) and its mean sizes in tokens. */
-    private class Kind(
-        val share: Double,
-        val variants: Int,
-        val sharedTokens: Int,
-        val ownTokens: Int,
-        val outputTokens: Int,
-        val worth: Double,
-        val timeout: Duration,
-    )
-
     private val random = Random(seed)
     private val requests = ArrayList<TrialRequest>()
     private val cumulativePopularity =
@@ -37,7 +27,7 @@
 
     /** Rate limit of each workspace in tokens per second. */
     fun limits(): List<Double> {
-        val mean = REQUEST_KINDS.sumOf { it.share * (it.sharedTokens + it.ownTokens + it.outputTokens) }
+        val mean = options.kinds.sumOf { it.share * (it.sharedTokens + it.ownTokens + it.outputTokens) }
         return options.workspaces.map { it * load.requestsPerSecond * mean * options.limitFactor }
     }
 
@@ -49,6 +39,22 @@
         repeat(load.burstSize) { submit(sampleIndex(options.workspaces), isSurge) }
         val extra = if (isSurge && load.surgeInOneWorkspace) (load.surgeFactor - 1) * options.workspaces.first() * load.burstSize else 0.0
         repeat(extra.toInt() + if (random.nextDouble() < extra % 1) 1 else 0) { submit(0, isSurge) }
+        if (isSurge) load.surgeKind?.let(::submitSurgeOf)
+    }
+
+    /** Submits what arrives of [kind] beyond its usual share. */
+    private fun submitSurgeOf(kind: Int) {
+        val extra = (load.surgeKindFactor - 1) * options.kinds[kind].share * load.burstSize
+        repeat(
+            extra.toInt() +
+                if (random.nextDouble() <
+                    extra % 1
+                ) {
+                    1
+                } else {
+                    0
+                },
+        ) { submit(sampleIndex(options.workspaces), isSurge = true, kind) }
     }
 
     private fun sampleExponential(rate: Double): Duration = (-ln(1 - random.nextDouble()) / rate).seconds
@@ -65,9 +71,10 @@
     private fun submit(
         workspace: Int,
         isSurge: Boolean,
+        ofKind: Int? = null,
     ) {
-        val index = sampleIndex(REQUEST_KINDS.map { it.share })
-        val kind = REQUEST_KINDS[index]
+        val index = ofKind ?: sampleIndex(options.kinds.map { it.share })
+        val kind = options.kinds[index]
         val isImpatient = isSurge && random.nextDouble() < load.impatientShare
         val variant = random.nextInt(kind.variants)
         val own = (kind.ownTokens * sampleExponential(1.0).toDouble(DurationUnit.SECONDS)).toInt().coerceIn(100, kind.ownTokens * 4)
@@ -85,6 +92,18 @@
                 deadline = time.now + kind.timeout,
                 retries = if (isImpatient) IMPATIENT_RETRIES else 1,
                 isImpatient = isImpatient,
+                priority = kind.priority,
+                target = kind.target ?: options.targetLatency,
+                lateShare = kind.lateShare,
+                lengthHint =
+                    if (kind.hasLengthHint) {
+                        maxOf(
+                            1,
+                            (output * exp(HINT_SPREAD * (random.nextDouble() * 2 - 1))).toInt(),
+                        )
+                    } else {
+                        null
+                    },
             )
         requests += request
         send(request)
@@ -118,7 +137,7 @@
 
     private fun earnedWorth(request: TrialRequest): Double {
         val at = request.answeredAt ?: return 0.0
-        return if (at - request.arrivedAt <= options.targetLatency) request.worth else request.worth * LATE_ANSWER_WORTH
+        return if (at - request.arrivedAt <= request.target) request.worth else request.worth * request.lateShare
     }
 
     fun result(
@@ -145,26 +164,29 @@
                     .map(::servedShare),
             worstKind = withinLimit.groupBy { it.kind }.values.minOf(::servedShare),
             fetches = fetches * PERCENT / requests.size,
+            byPriority = withinLimit.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
             readShare = prefilledTokens.toDouble() / answered.sumOf { it.promptTokens },
         )
     }
 
     private fun worth(of: List<TrialRequest>): Double = of.sumOf(::earnedWorth) / of.sumOf { it.worth }
 
+    private fun priorityResult(of: List<TrialRequest>): TrialPriorityResult {
+        val late = of.count { it.answeredAt != null && earnedWorth(it) < it.worth }.toDouble() / of.size
+        val refusals = of.sumOf { it.refusals }.toDouble() / of.size
+        return TrialPriorityResult(worth(of), servedShare(of) - late, late, 1 - servedShare(of), refusals)
+    }
+
     private fun servedShare(of: List<TrialRequest>): Double = of.count { it.answeredAt != null }.toDouble() / of.size
 
     private companion object {
-        val REQUEST_KINDS =
-            listOf(
-                Kind(0.70, variants = 69, sharedTokens = 568, ownTokens = 1_800, outputTokens = 22, worth = 2.3, timeout = 5.seconds),
-                Kind(0.10, variants = 2, sharedTokens = 568, ownTokens = 1_800, outputTokens = 22, worth = 2.3, timeout = 8.seconds),
-                Kind(0.20, variants = 13, sharedTokens = 350, ownTokens = 1_110, outputTokens = 172, worth = 3.0, timeout = 15.seconds),
-            )
         const val ADAPTER_SHARE = 0.95
-        const val LATE_ANSWER_WORTH = 0.3
         const val PERCENT = 100.0
         const val IMPATIENT_RETRIES = 3
         val IMPATIENT_PAUSE = 20.milliseconds
+
+        /** Hints are off by up to this power of e in either direction. */
+        const val HINT_SPREAD = 1.5
         val WINDOW = 2.seconds
         const val MIN_WINDOW = 10
     }
--- a/standin/src/main/kotlin/anvilslip/standin/TrialRequest.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialRequest.kt
@@ -17,6 +17,10 @@
     val retries: Int,
     /** Whether the client retries without honoring the retry delay of the refusal. */
     val isImpatient: Boolean,
+    val priority: Int,
+    val target: Duration,
+    val lateShare: Double,
+    val lengthHint: Int?,
 ) {
     val promptTokens: Int = parts.sumOf { it.second }
     val charge: Long = (promptTokens + outputTokens).toLong()
