Replay the queue for admission on many engines; account for limits and fair shares while requests wait

The first replay of the queue showed three faults. A new request of any workspace was refused when a flood of another workspace had filled its priority, because all waiting work counted as ahead of it; now only its fair share counts. Requests were charged when sent, so a flood beyond its limit filled the queue; now the charges of waiting requests count as reserved. A second attempt whose target had passed was refused as over its limit (0 > a negative time); corrected where requests wait in the queue, unchanged below 32 engines.

Ruled out: the first replay took the weight store of six engines for 40, which made loads the bottleneck and hid the engines; and it left out requests over a limit, which flattered the queue. Both are corrected, and shares now count all requests.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionLog.kt
@@ -4,6 +4,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRequest
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -15,6 +16,7 @@
 ) {
     private val log = EventLogger("dispatch")
     private val lock = Any()
+    private val recordedPriorities = ConcurrentHashMap.newKeySet<Int>()
     private var secondBeganAt = Duration.ZERO
     private var lines = 0
     private var omitted = 0
@@ -45,7 +47,8 @@
 
     /** Records the number of waiting requests by priority. */
     fun recordWaiting(sizes: Map<Int, Int>) {
-        for ((priority, size) in sizes) metrics?.waiting?.labelValues(priority.toString())?.set(size.toDouble())
+        recordedPriorities += sizes.keys
+        for (priority in recordedPriorities) metrics?.waiting?.labelValues(priority.toString())?.set((sizes[priority] ?: 0).toDouble())
     }
 
     private fun nameOf(decision: DispatchDecision): String =
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -148,6 +148,7 @@
         val term = currentTerm()
         if (term == null) {
             lastTerm?.let(::abandonQuestions)
+            admissionLog.recordWaiting(emptyMap())
             return
         }
         val sizes =
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -68,12 +68,41 @@
             val admission = admitNow(request, askedAt, now, isReserved)
             val refusal = admission.refusal() ?: return admission
             if (!mayWait(queue, refusal, request, askedAt, now)) return refused(queue, request.after(now - askedAt), refusal)
-        } else if (!canStartBeforeDeadline(queue, request, askedAt, now)) {
-            return refused(queue, request.after(now - askedAt), DispatchDecision.Refuse(DispatchRefusal.BUSY, 0))
+        }
+        if (dispatcher.isQueued(request.service)) {
+            val refusal = refusalBeforeWaiting(queue, request, askedAt, now)
+            if (refusal != null) return refused(queue, request.after(now - askedAt), refusal)
         }
         return enqueue(queue, request, askedAt, now)
     }
 
+    /** The refusal of a request that could not be sent before its deadline or within the limit of its workspace, or null. */
+    private fun refusalBeforeWaiting(
+        queue: AdmissionQueue,
+        request: DispatchRequest,
+        askedAt: Duration,
+        now: Duration,
+    ): DispatchDecision.Refuse? {
+        val limitWait = dispatcher.limitWait(request, queue.chargeOf(request.workspace), now)
+        val maxLimitWait = maxOf(request.targetMillis.milliseconds, request.remainingMillis.milliseconds * options.limitWaitShare)
+        return when {
+            limitWait > maxLimitWait -> {
+                DispatchDecision.Refuse(
+                    DispatchRefusal.OVER_LIMIT,
+                    (limitWait - maxLimitWait / 2).inWholeMilliseconds,
+                )
+            }
+
+            !canStartBeforeDeadline(queue, request, askedAt, now) -> {
+                DispatchDecision.Refuse(DispatchRefusal.BUSY, 0)
+            }
+
+            else -> {
+                null
+            }
+        }
+    }
+
     /** Removes the request [key] if it waits, because its entry instance no longer asks for it. */
     public fun withdraw(key: RequestKey) {
         for (queue in queues.values) queue[key]?.let(queue::remove)
@@ -239,7 +268,8 @@
     private fun expectedWait(
         queue: AdmissionQueue,
         request: DispatchRequest,
-    ): Duration = (queue.workAhead(request.priority) / dispatcher.capacity(request.service).coerceAtLeast(1.0)).milliseconds
+    ): Duration =
+        (queue.workAhead(request.priority, request.workspace) / dispatcher.capacity(request.service).coerceAtLeast(1.0)).milliseconds
 
     /**
      * The refusal of [request]. Clients that are refused together get retry delays that differ by up to a quarter, so that they do not
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
@@ -25,6 +25,11 @@
     val maxRetryPause: Duration = 160.milliseconds,
     /** One in this many placements goes to the request that has waited longest. */
     val agedInterval: Int = 8,
+    /**
+     * Time that a request may wait for the limit of its workspace, after the requests of the workspace that wait already, as a share of
+     * the time until its deadline; at least its target.
+     */
+    val limitWaitShare: Double = 0.25,
     /** Expected wait up to which a late request is started, as a share of its target. */
     val lateWaitShare: Double = 0.25,
     /** Prompt tokens that cost an engine as much time as one output token: 0.5 ms in a batch of 20 at 20 prompt tokens per ms. */
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
@@ -26,6 +26,7 @@
     private val byAnswer = TreeSet(compareBy<WaitingRequest>({ it.answerAt }, { it.sequence }))
     private val byHold = TreeSet(compareBy<WaitingRequest>({ it.heldUntil }, { it.sequence }))
     private val byLatestStart = TreeSet(compareBy<WaitingRequest>({ it.latestStartAt }, { it.sequence }))
+    private val charges = HashMap<String, Long>()
     private var lastSequence = 0L
     private var placementsSinceAged = 0
 
@@ -54,8 +55,21 @@
     /** True if a request of [priority] or a more urgent one waits. */
     fun hasWaiting(priority: Int): Boolean = levels.headMap(PendingTokens.index(priority), true).values.any { it.size > 0 }
 
-    /** Work that is to be started before that of a new request of [priority]. */
-    fun workAhead(priority: Int): Long = levels.headMap(PendingTokens.index(priority), true).values.sumOf { it.work }
+    /** Work that is to be started before that of a new request of [priority] and [workspace]. */
+    fun workAhead(
+        priority: Int,
+        workspace: String?,
+    ): Double {
+        val index = PendingTokens.index(priority)
+        return levels
+            .headMap(index)
+            .values
+            .sumOf { it.work }
+            .toDouble() + (levels[index]?.workAhead(workspace.orEmpty()) ?: 0.0)
+    }
+
+    /** Tokens that the waiting requests of [workspace] will charge to its limit. */
+    fun chargeOf(workspace: String?): Long = charges[workspace.orEmpty()] ?: 0
 
     /** Adds [request], which its entry instance has stated at [askedAt]. */
     fun add(
@@ -69,7 +83,8 @@
         waiting.isLate = waiting.latestStartAt < now
         waiting.urgencyCost = urgencyCost(waiting, now)
         requests[waiting.key] = waiting
-        levels.getOrPut(waiting.priority) { PriorityQueueLevel() }.add(waiting)
+        charges.merge(waiting.workspace, request.charge, Long::plus)
+        levels.getOrPut(waiting.priority) { PriorityQueueLevel(weightOf) }.add(waiting)
         if (!waiting.isLate) byLatestStart += waiting
         waiting.answerAt = askedAt + options.answerAfter
         byAnswer += waiting
@@ -85,7 +100,7 @@
                 .descendingMap()
                 .values
                 .firstOrNull { it.size > 0 }
-                ?.last(weightOf) ?: return null
+                ?.last() ?: return null
         remove(last)
         return last
     }
@@ -100,7 +115,7 @@
         byHold -= waiting
         byAnswer -= waiting
         level(waiting).reorder(waiting) {
-            waiting.request = request
+            waiting.request = request.copy(charge = waiting.request.charge)
             waiting.askedAt = askedAt
             waiting.urgencyCost = urgencyCost(waiting, now)
         }
@@ -139,6 +154,7 @@
 
     fun remove(waiting: WaitingRequest) {
         if (requests.remove(waiting.key) == null) return
+        charges.computeIfPresent(waiting.workspace) { _, charge -> (charge - waiting.request.charge).takeIf { it > 0 } }
         disable(waiting)
         byAnswer -= waiting
         byHold -= waiting
@@ -152,7 +168,7 @@
         isAged: Boolean,
     ) {
         placementsSinceAged = if (isAged) 0 else placementsSinceAged + 1
-        level(waiting).charge(waiting, weightOf(waiting.workspace))
+        level(waiting).charge(waiting)
         remove(waiting)
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -137,6 +137,13 @@
     /** Prompt tokens per millisecond that the ready engines of [service] process together. */
     internal fun capacity(service: String): Double = fleet.speed(service).tokensPerMillisecond * fleet.readyCount(service)
 
+    /** Time until the limit of its workspace allows [request] after [reserved] tokens of requests that wait. */
+    internal fun limitWait(
+        request: DispatchRequest,
+        reserved: Long,
+        now: Duration,
+    ): Duration = limits.waitTime(request.workspace, request.charge, now, reserved)
+
     /** Weight of [workspace] for fair queueing: its rate limit, or the mean of all limits if it has none. */
     internal fun weightOf(workspace: String): Double = weights[workspace] ?: meanWeight
 
@@ -151,7 +158,9 @@
         maxWait: Duration? = null,
     ): Admission {
         val wait = limits.waitTime(request.workspace, request.charge, now)
-        val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
+        // Where late requests may wait, one whose target has passed is not over its limit for that.
+        val target = if (isQueued(request.service)) maxOf(request.targetMillis, 0) else request.targetMillis
+        val maxLimitWait = target.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
         val admission = place(request, wait, maxWait, now)
         val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
--- a/policy/src/main/kotlin/anvilslip/policy/PriorityQueueLevel.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/PriorityQueueLevel.kt
@@ -3,7 +3,9 @@
 import java.util.TreeSet
 
 /** The waiting requests of one priority, served by weighted fair queueing over workspaces. */
-internal class PriorityQueueLevel {
+internal class PriorityQueueLevel(
+    private val weightOf: (String) -> Double,
+) {
     private val byVirtualTime = compareBy<WorkspaceQueue>({ it.virtualTime }, { it.name })
     private val workspaces = HashMap<String, WorkspaceQueue>()
     private val withOnTime = TreeSet(byVirtualTime)
@@ -18,19 +20,31 @@
     var work = 0L
         private set
 
+    /** Sum of the weights of workspaces with waiting requests. */
+    private var backloggedWeight = 0.0
+
+    /** Work that is started before that of a new request of [workspace], which other workspaces delay only by their fair share. */
+    fun workAhead(workspace: String): Double {
+        val own = workspaces[workspace]?.takeIf { it.members.isNotEmpty() } ?: return 0.0
+        return minOf(work.toDouble(), own.normalizedWork(weightOf(workspace)) * backloggedWeight)
+    }
+
     /** The request to try next, or null if none can be tried now. */
     fun first(): WaitingRequest? = withOnTime.firstOrNull()?.onTime?.first() ?: withLate.firstOrNull()?.late?.first()
 
     /** The request that would be served last. */
-    fun last(weightOf: (String) -> Double): WaitingRequest? {
+    fun last(): WaitingRequest? {
         val backlogged = workspaces.values.filter { it.members.isNotEmpty() }
-        val latest = backlogged.maxWithOrNull(compareBy({ it.virtualTime + it.waitingWork / weightOf(it.name) }, { it.name }))
+        val latest = backlogged.maxWithOrNull(compareBy({ it.virtualTime + it.normalizedWork(weightOf(it.name)) }, { it.name }))
         return latest?.last
     }
 
     fun add(request: WaitingRequest) {
         val workspace = workspaces.getOrPut(request.workspace) { WorkspaceQueue(request.workspace) }
-        if (workspace.members.isEmpty()) workspace.virtualTime = maxOf(workspace.virtualTime, virtualTime)
+        if (workspace.members.isEmpty()) {
+            workspace.virtualTime = maxOf(workspace.virtualTime, virtualTime)
+            backloggedWeight += weightOf(request.workspace)
+        }
         workspace.add(request)
         workspace.waitingWork += request.work
         size++
@@ -44,7 +58,9 @@
         workspace.waitingWork -= request.work
         size--
         work -= request.work
-        if (workspace.members.isEmpty() && workspace.virtualTime <= virtualTime) workspaces.remove(workspace.name)
+        if (workspace.members.isNotEmpty()) return
+        backloggedWeight = if (size == 0) 0.0 else backloggedWeight - weightOf(workspace.name)
+        if (workspace.virtualTime <= virtualTime) workspaces.remove(workspace.name)
     }
 
     /** Lets [request] be tried. */
@@ -67,15 +83,12 @@
     }
 
     /** Charges [request], which is placed, to its workspace. */
-    fun charge(
-        request: WaitingRequest,
-        weight: Double,
-    ) {
+    fun charge(request: WaitingRequest) {
         val workspace = workspaces.getValue(request.workspace)
         withOnTime -= workspace
         withLate -= workspace
         virtualTime = maxOf(virtualTime, workspace.virtualTime)
-        workspace.virtualTime += request.work / weight
+        workspace.virtualTime += request.work / weightOf(request.workspace)
         if (workspace.onTime.isNotEmpty()) withOnTime += workspace
         if (workspace.late.isNotEmpty()) withLate += workspace
         if (workspaces.size > MAX_IDLE_WORKSPACES) workspaces.values.removeIf { it.members.isEmpty() && it.virtualTime <= virtualTime }
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceBucket.kt
@@ -33,15 +33,16 @@
 
     /**
      * Time to delay a request of [tokens] so that it stays within the limit; infinite while the rate is zero. A request larger than
-     * the burst waits for a full bucket.
+     * the burst waits for a full bucket. [reserved] tokens are spent before.
      */
     public fun waitTime(
         tokens: Double,
         now: Duration,
+        reserved: Double = 0.0,
     ): Duration {
         refill(now)
         if (rate <= 0) return Duration.INFINITE
-        val missing = minOf(tokens, burst) - level
+        val missing = minOf(tokens, burst) + reserved - level
         return if (missing <= 0) Duration.ZERO else (missing / rate).seconds
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceLimits.kt
@@ -35,12 +35,13 @@
         }
     }
 
-    /** Time to delay a request of [workspace]; zero without a limit. */
+    /** Time to delay a request of [workspace], before which [reserved] tokens are spent; zero without a limit. */
     fun waitTime(
         workspace: String?,
         tokens: Long,
         now: Duration,
-    ): Duration = bucket(workspace, tokens)?.waitTime(tokens.toDouble(), now) ?: Duration.ZERO
+        reserved: Long = 0,
+    ): Duration = bucket(workspace, tokens)?.waitTime(tokens.toDouble(), now, reserved.toDouble()) ?: Duration.ZERO
 
     fun spend(
         workspace: String?,
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
@@ -24,6 +24,9 @@
      */
     val last: WaitingRequest get() = lateByAge.lastOrNull() ?: members.last()
 
+    /** Work of all members divided by [weight], which competing workspaces get through in the same time. */
+    fun normalizedWork(weight: Double): Double = waitingWork / weight
+
     fun add(request: WaitingRequest) {
         members += request
         if (request.isLate) lateByAge += request
--- a/policy/src/test/kotlin/anvilslip/policy/AdmissionControlSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/AdmissionControlSpec.kt
@@ -244,6 +244,24 @@
             }
         }
 
+        describe("a workspace with a limit") {
+            // Guards against 429 for a second attempt, whose target has passed.
+            it("is not refused as over its limit because a target has passed") {
+                val workspaces = listOf(ServingWorkspace("w", listOf("k"), ratePerSecond = 1_000.0, burst = 1_000.0))
+                val queue = AdmissionHarness(workspaces = workspaces)
+                queue.ask(queue.request(workspace = "w", target = (-100).milliseconds)).shouldBeInstanceOf<DispatchDecision.Send>()
+            }
+
+            // Guards against a flood that fills the queue, since a request is charged only when it is sent.
+            it("is refused at once what its limit does not allow after its waiting requests") {
+                val workspaces = listOf(ServingWorkspace("w", listOf("k"), ratePerSecond = 1_000.0, burst = 1_000.0))
+                val queue = AdmissionHarness(workspaces = workspaces).apply { fill(32) }
+                val decisions = List(4) { queue.ask(queue.request(workspace = "w", remaining = 4.seconds).copy(charge = 600)) }
+                decisions.take(3).forEach { it.shouldBeNull() }
+                decisions.last().shouldBeInstanceOf<DispatchDecision.Refuse>().reason shouldBe DispatchRefusal.OVER_LIMIT
+            }
+        }
+
         describe("requests that are refused together") {
             it("are told different times, within a quarter of the expected one") {
                 val queue = full(AdmissionOptions(maxWaiting = 32))
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
@@ -57,7 +57,7 @@
             )
         }
 
-        /** Requests per second for each engine: 378 on 98 engines, where demand rises by 0.55 in waves. */
-        private const val REQUESTS_PER_ENGINE = 3.9
+        /** The usual load occupies most of the engines, so that each disturbance is an overload. */
+        private const val REQUESTS_PER_ENGINE = 400 / 48.0
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
@@ -46,7 +46,7 @@
     }
 
     private val time = VirtualTime()
-    private val store = WeightStoreModel()
+    private val store = WeightStoreModel(options.fullSpeedLoads)
     private val engines =
         (0 until options.engines).map { Engine(EngineModel("engine-$it", "az${it % options.zones}", options.engine, store, time)) }
     private val byName = engines.associateBy { it.model.name }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -24,5 +24,26 @@
     val targetLatency: Duration = 1.seconds,
     /** Maximum time that a request waits at the leader while its adapter is loaded. */
     val placementWait: Duration = 100.milliseconds,
+    /** Loads that the weight store carries at full speed. */
+    val fullSpeedLoads: Int = 8,
     val admission: AdmissionOptions = AdmissionOptions(),
-)
+) {
+    public companion object {
+        /** A deployment of [engines] engines with requests of three priorities, of which most find their adapter loaded. */
+        public fun ofManyEngines(
+            engines: Int,
+            dispatch: DispatchOptions = DispatchOptions(),
+        ): DispatchTrialOptions =
+            DispatchTrialOptions(
+                engines = engines,
+                dispatch = dispatch,
+                adapters = 1_000,
+                skew = 1.4,
+                kinds = TrialKind.BY_PRIORITY,
+                fullSpeedLoads = (engines * LOADS_PER_ENGINE).toInt(),
+            )
+
+        /** The store carries 64 loads at full speed on 98 engines. */
+        private const val LOADS_PER_ENGINE = 0.65
+    }
+}
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
@@ -5,6 +5,7 @@
     private val columns: List<Pair<String, (DispatchTrialResult) -> Double>> =
         listOf(
             "worth" to { it.worth },
+            "worth of all" to { it.worthOfAll },
             "worst 2 s" to { it.worstWorth },
             "late" to { it.late },
             "refused" to { it.refused },
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -23,6 +23,9 @@
     val worstKind: Double,
     /** Loads from the weight store per hundred requests. */
     val fetches: Double,
+    /** Achieved share of the total worth of all requests, also those over the limit of their workspace. */
+    val worthOfAll: Double,
+    /** Shares of all requests, by priority. */
     val byPriority: Map<Int, TrialPriorityResult>,
     /** Prefilled tokens divided by the prompt tokens of all answered requests. */
     val readShare: Double,
--- a/standin/src/main/kotlin/anvilslip/standin/Main.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Main.kt
@@ -219,7 +219,7 @@
 
     private fun runWithPriorities() {
         val dispatch = if (noQueue) DispatchOptions(minQueueEngines = Int.MAX_VALUE) else DispatchOptions()
-        val options = DispatchTrialOptions(engines = engines, kinds = TrialKind.BY_PRIORITY, dispatch = dispatch)
+        val options = DispatchTrialOptions.ofManyEngines(engines, dispatch)
         val loads = DispatchLoad.ofManyEngines(engines).filter { load == null || it.name == load }
         val results = loads.flatMap { each -> (1L..seeds).map { DispatchTrial(options, each, it).run() } }
         println(DispatchTrialReport.table(results))
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -164,7 +164,8 @@
                     .map(::servedShare),
             worstKind = withinLimit.groupBy { it.kind }.values.minOf(::servedShare),
             fetches = fetches * PERCENT / requests.size,
-            byPriority = withinLimit.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
+            worthOfAll = worth(requests),
+            byPriority = requests.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
             readShare = prefilledTokens.toDouble() / answered.sumOf { it.promptTokens },
         )
     }
--- a/standin/src/test/kotlin/anvilslip/standin/DispatchTrialSpec.kt
+++ b/standin/src/test/kotlin/anvilslip/standin/DispatchTrialSpec.kt
@@ -74,6 +74,31 @@
             }
         }
 
+        describe("requests of three priorities on many engines") {
+            val engines = 48
+            val withoutQueue = DispatchOptions(minQueueEngines = Int.MAX_VALUE)
+
+            fun onManyEngines(
+                load: DispatchLoad,
+                dispatch: DispatchOptions,
+            ) = DispatchTrial(DispatchTrialOptions.ofManyEngines(engines, dispatch), load, seed = 1).run()
+
+            fun DispatchTrialResult.worthOf(priority: Int) = byPriority.getValue(priority).worth
+
+            // Guards against a queue that costs callers more than refusals would, or makes the most urgent requests wait for others.
+            for (load in DispatchLoad.ofManyEngines(engines)) {
+                it("earn more with a queue under overload, the most urgent most of all: ${load.name}") {
+                    val before = onManyEngines(load, withoutQueue)
+                    val after = onManyEngines(load, DispatchOptions())
+                    val margin = if (load.name == "usual") 0.02 else 0.0
+                    after.worthOfAll shouldBeGreaterThan before.worthOfAll - margin
+                    after.worthOf(0) shouldBeGreaterThan before.worthOf(0)
+                    after.worthOf(0) shouldBeGreaterThan after.worthOf(1)
+                    after.worthOf(1) shouldBeGreaterThan after.worthOf(2)
+                }
+            }
+        }
+
         describe("engines") {
             it("that drain with two seconds of notice leave more than 80% of the worth") {
                 results("engines-leave").mean { it.worth } shouldBeGreaterThan 0.8
