--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -106,7 +106,7 @@
                 if (waitBeforeReadmission(exchange, admitted.term, decision)) continue
                 return answerRefusal(exchange, decision)
             }
-            decision as DispatchDecision.Send
+            check(decision is DispatchDecision.Send) { "the admission of request $number is not decided" }
             recordCharge(exchange, demand)
             exchange.lastServer = decision.server
             progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
@@ -121,6 +121,7 @@
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult? {
+        var outputTokens: Int? = null
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
             if (isRevoked(exchange, attempt.decision.server)) {
@@ -131,9 +132,11 @@
             }
             exchange.attempts++
             exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
-            return sender.send(exchange, attempt)
+            val result = sender.send(exchange, attempt)
+            if (result is AttemptResult.Delivered) outputTokens = outputTokensOf(exchange)
+            return result
         } finally {
-            progress.recordStep(attempt.number, RequestStep.ENDED)
+            progress.recordStep(attempt.number, RequestStep.ENDED, outputTokens)
         }
     }
 
@@ -148,6 +151,12 @@
         return isEvacuated || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
     }
 
+    /** The events of a stream are numbered by token. */
+    private fun outputTokensOf(exchange: Exchange): Int? =
+        exchange.events.lastId
+            ?.takeIf { it in 1..exchange.request.maxOutputTokens }
+            ?.toInt()
+
     /** Refuses a request because [key], one of its suspect keys, is quarantined. Without a retry delay, since it will not be run later. */
     private suspend fun refuseQuarantined(
         exchange: Exchange,
@@ -282,7 +291,7 @@
     ): RunningRequest {
         val request = exchange.request
         val left = (exchange.deadline - clock.elapsed()).inWholeMilliseconds
-        return RunningRequest(number, server, request.model, request.adapter, unreadTokens(exchange), left)
+        return RunningRequest(number, server, request.model, request.adapter, unreadTokens(exchange), left, exchange.priority)
     }
 
     private fun unreadTokens(exchange: Exchange): Int = if (exchange.hasResponseStarted) 0 else exchange.request.promptTokens
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -162,7 +162,16 @@
         val options = DispatchOptions(coldOvershoot = settings.coldOvershoot, coldSlack = settings.coldSlack)
         val dispatch =
             kernel.install(
-                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, options, handover, clock),
+                LeaderDispatch(
+                    replica::view,
+                    clusterView,
+                    watchResponder,
+                    engineClient,
+                    options,
+                    handover,
+                    clock,
+                    AdmissionMetrics(metrics),
+                ),
             )
         kernel.install(DispatchWarmUp(clusterView, DispatchOptions()))
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -73,16 +73,17 @@
         promptTokens: Int,
     ): Unit = synchronized(loads) { loads.recordSent(number, server, service, promptTokens, clock.elapsed()) }
 
-    /** Records that request [number] has reached [step]. */
+    /** Records that request [number] has reached [step]; [outputTokens] is the length of its answer if it has ended and that is known. */
     public fun recordStep(
         number: Long,
         step: RequestStep,
+        outputTokens: Int? = null,
     ) {
         if (step != RequestStep.ANSWERING) running.remove(number)
         synchronized(loads) {
             if (step == RequestStep.ANSWERING) loads.recordAnswering(number, clock.elapsed()) else loads.recordEnded(number)
         }
-        events.trySend(RequestEvent(number, step))
+        events.trySend(RequestEvent(number, step, outputTokens))
     }
 
     private fun sendBatch(first: RequestEvent) {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -13,6 +13,8 @@
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val performances = HashMap<String, ServicePerformance>()
+    private var readyServers: Map<String, Int> = emptyMap()
+    val outputEstimate = OutputEstimate()
     var configuration = ServingConfiguration(-1)
     var versions: Map<AdapterName, Long> = emptyMap()
 
@@ -50,8 +52,16 @@
                 }
             }
         }
+        readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
     }
 
+    /** Number of ready servers of [service]. */
+    fun readyCount(service: String): Int = readyServers[service] ?: 0
+
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    fun isQueued(service: String): Boolean =
+        readyCount(service) >= options.minQueueEngines && configuration.services[service]?.engine != null
+
     /**
      * Servers that can run [request]; recently unreachable servers are included only if there are no others. Suspects run on different
      * servers if possible, so that an innocent one does not share the next crash with the one that causes it.
@@ -125,7 +135,7 @@
         request: DispatchRequest,
     ): Boolean {
         val engine = engineOf(server) ?: return true
-        return server.runningRequests < engine.slots && server.kvTokens + request.promptTokens < engine.kvCapacity * options.memoryShare
+        return server.runningRequests < engine.slots && server.kvTokens + kvUse(request) < engine.kvCapacity * options.memoryShare
     }
 
     /** Expected time until [server] answers [request], by which servers are compared: [cost] and the time for its own prompt. */
@@ -133,6 +143,8 @@
         server: DispatchServer,
         request: DispatchRequest,
     ): Duration = cost(server, request) + server.promptTime(request.promptTokens)
+    /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
+    fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
 
     /** Expected time until [server] starts [request], plus the penalty for a server in another zone. */
     fun cost(
@@ -140,10 +152,19 @@
         request: DispatchRequest,
     ): Duration {
         val zone = if (server.report.zone == request.zone) Duration.ZERO else options.zonePenalty
-        if (request.model != null) return server.expectedWait(now) + zone
+        if (request.model != null) return server.expectedWait(now, waitPriority(request)) + zone
         return server.performance.expectedTime(server.plainWork, 0) + RUNNING_COST * server.runningRequests + zone
     }
 
+    /** Least urgent priority whose pending tokens a server processes before [request]. Without a queue, all pending tokens count. */
+    fun waitPriority(request: DispatchRequest): Int = if (isQueued(request.service)) request.priority else PendingTokens.LEAST_URGENT
+
+    /** Prompt tokens per millisecond that an engine of [service] processes on average. */
+    fun prefillSpeed(service: String): Double = performances[service]?.let { 1 / it.millisPerUnit } ?: options.tokensPerMillisecond
+
+    /** Time that an engine of the service takes on average to process the prompt of [request]. */
+    fun prefillTime(request: DispatchRequest): Duration = (request.promptTokens / prefillSpeed(request.service)).milliseconds
+
     /** Expected time that a plain request waits for a free slot on [server]. */
     fun queueTime(server: DispatchServer): Duration = server.performance.expectedTime(server.plainWork - 1, 0)
 
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -20,7 +20,7 @@
     var runningSuspects = 0
 
     /** Prompt tokens sent to the server that it has not processed yet. */
-    var pendingPromptTokens = 0
+    val pendingPromptTokens = PendingTokens()
 
     /** Number of requests whose prompt tokens are in [pendingPromptTokens]. */
     var pendingPrompts = 0
@@ -28,7 +28,7 @@
     /** Time since which the server has worked on the first of its pending prompts. */
     var promptStartedAt = Duration.ZERO
 
-    /** KV cache tokens used by running requests. */
+    /** KV cache tokens that running requests use, or are expected to use when they end. */
     var kvTokens = 0
 
     /** Number of orders that the server has accepted; null until its inventory is known. */
@@ -47,18 +47,28 @@
 
     fun holdsModel(model: String): Boolean = model in inventoryModels || report.models.orEmpty().any { it.name == model }
 
-    /** Expected time until the engine has processed all pending prompts. */
-    fun expectedWait(now: Duration): Duration = performance.expectedTime(remainingPromptTokens(now), runningRequests)
+    /** Expected time until the server starts a request of [priority]; engines start more urgent requests first. */
+    fun expectedWait(
+        now: Duration,
+        priority: Int = PendingTokens.LEAST_URGENT,
+    ): Duration = performance.expectedTime(remainingPromptTokens(now, priority), runningRequests)
 
     /** Expected time for a prompt of [tokens] on an idle engine. */
     fun promptTime(tokens: Int): Duration = performance.expectedTime(tokens.toDouble(), 0)
 
-    /** Pending prompt tokens without those of the current prompt that have been processed since [promptStartedAt]. */
-    fun remainingPromptTokens(now: Duration): Double {
-        if (pendingPrompts == 0 || now <= promptStartedAt) return pendingPromptTokens.toDouble()
+    /**
+     * Pending prompt tokens of [priority] and more urgent ones, without those of the current prompt that have been processed since
+     * [promptStartedAt].
+     */
+    fun remainingPromptTokens(
+        now: Duration,
+        priority: Int,
+    ): Double {
+        val pending = pendingPromptTokens.upTo(priority).toDouble()
+        if (pendingPrompts == 0 || now <= promptStartedAt) return pending
         val processed = (now - promptStartedAt).toDouble(DurationUnit.MILLISECONDS) * performance.speed
-        val meanPrompt = pendingPromptTokens.toDouble() / pendingPrompts
-        return pendingPromptTokens - minOf(processed, meanPrompt * MAX_PROGRESS)
+        val meanPrompt = pendingPromptTokens.total.toDouble() / pendingPrompts
+        return (pending - minOf(processed, meanPrompt * MAX_PROGRESS)).coerceAtLeast(0.0)
     }
 
     /** Rounds of requests until a plain server answers a further request: one, and those of the queue ahead of it. */
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -28,6 +28,9 @@
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
 
+    private var weights: Map<String, Double> = emptyMap()
+    private var meanWeight = 1.0
+
     /** Number of requests sent to servers that have not ended. */
     public val runningRequests: Int get() = tracker.size
 
@@ -40,6 +43,9 @@
         fleet.versions = versions
         if (next.version == fleet.configuration.version) return
         fleet.configuration = next
+        weights =
+            next.workspaces.filter { it.ratePerSecond > 0 }.associate { it.name to it.ratePerSecond * it.charge(MEAN_TOKENS) / MEAN_TOKENS }
+        meanWeight = weights.values.average().takeIf { weights.isNotEmpty() } ?: 1.0
         limits.configure(next.workspaces, now)
     }
 
@@ -141,16 +147,45 @@
         return maxOf(hold, known.expectedWait(now) - promptTime) + promptTime
     }
 
-    /** Decides whether and where to run [request]. */
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    internal fun isQueued(service: String): Boolean = fleet.isQueued(service)
+
+    /** Time that an engine takes to process the prompt of [request]. */
+    internal fun prefillTime(request: DispatchRequest): Duration = fleet.prefillTime(request)
+
+    /** Output tokens that [request] is expected to produce. */
+    internal fun expectedOutput(request: DispatchRequest): Int = fleet.outputEstimate.expected(request)
+
+    /** Prompt tokens per millisecond that the ready engines of [service] process together. */
+    internal fun capacity(service: String): Double = fleet.prefillSpeed(service) * fleet.readyCount(service)
+
+    /** Time until the limit of its workspace allows [request] after [reserved] tokens of requests that wait. */
+    internal fun limitWait(
+        request: DispatchRequest,
+        reserved: Long,
+        now: Duration,
+    ): Duration = limits.waitTime(request.workspace, request.charge, now, reserved)
+
+    /** Weight of [workspace] for fair queueing: its rate limit, or the mean of all limits if it has none. */
+    internal fun weightOf(workspace: String): Double = weights[workspace] ?: meanWeight
+
+    /**
+     * Decides whether and where to run [request].
+     *
+     * @param maxWait expected wait on an engine above which the request is refused; null for what its target allows
+     */
     public fun admit(
         request: DispatchRequest,
         now: Duration,
+        maxWait: Duration? = null,
     ): Admission {
         fleet.now = now
         val wait = limits.waitTime(request.workspace, request.charge, now)
-        val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
+        // Where late requests may wait, one whose target has passed is not over its limit for that.
+        val target = if (isQueued(request.service)) maxOf(request.targetMillis, 0) else request.targetMillis
+        val maxLimitWait = target.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
-        val admission = place(request, wait, now)
+        val admission = place(request, wait, maxWait, now)
         val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
         if (sent) limits.spend(request.workspace, request.charge, now)
         return admission
@@ -159,22 +194,24 @@
     private fun place(
         request: DispatchRequest,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val candidates = fleet.candidates(request, now)
         if (candidates.isEmpty()) return refuseWithoutServer(request)
         val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
         val admission =
-            if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, now)
+            if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, maxWait, now)
         val isRefused = (admission as? Admission.Decided)?.decision is DispatchDecision.Refuse
         val open = if (isRefused) cold.filter { fleet.hasColdRoom(it, now + limitWait, now) } else emptyList()
-        return if (open.isEmpty()) admission else placeOn(open, request, limitWait, now)
+        return if (open.isEmpty()) admission else placeOn(open, request, limitWait, maxWait, now)
     }
 
     private fun placeOn(
         candidates: List<DispatchServer>,
         request: DispatchRequest,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
@@ -182,8 +219,9 @@
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
         val withMemory = holders.filter { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
-        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.answerCost(it, request) }, limitWait, null, now)
-        return placeAdapter(request, model, adapter, withMemory, limitWait, now)
+        val adapter = request.adapter
+        if (adapter != null) return placeAdapter(request, model, adapter, withMemory, limitWait, maxWait, now)
+        return send(request, withMemory.minBy { fleet.answerCost(it, request) }, limitWait, null, maxWait, now)
     }
 
     private fun refuseWithoutServer(request: DispatchRequest): Admission {
@@ -201,7 +239,7 @@
         val best = servers.minBy { fleet.cost(it, request) }
         val wait = fleet.queueTime(best)
         if (wait > request.targetMillis.milliseconds * options.waitShare) return refuse(DispatchRefusal.BUSY, wait / 2, servers.size, wait)
-        return send(request, best, limitWait, null, now)
+        return send(request, best, limitWait, null, null, now)
     }
 
     private fun placeAdapter(
@@ -210,6 +248,7 @@
         adapter: String,
         servers: List<DispatchServer>,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val version = fleet.currentVersion(model, adapter)
@@ -222,13 +261,14 @@
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
             val slot = holder.adapterSlots.getValue(adapter)
             if (slot.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
-            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, now)
+            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, maxWait, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (fleet.isTooLate(
+        if (isTooLate(
                 loadCost,
                 loader,
                 request,
+                maxWait,
             )
         ) {
             return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
@@ -247,12 +287,13 @@
         server: DispatchServer,
         hold: Duration,
         version: Long?,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
         val wait = fleet.cost(server, request) + holdTime
         if (request.model != null &&
-            fleet.isTooLate(wait, server, request)
+            isTooLate(wait, server, request, maxWait)
         ) {
             return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
         }
@@ -263,6 +304,13 @@
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
+    private fun isTooLate(
+        wait: Duration,
+        server: DispatchServer,
+        request: DispatchRequest,
+        maxWait: Duration?,
+    ): Boolean = if (maxWait != null) wait > maxWait else fleet.isTooLate(wait, server, request)
+
     /** Retry delay: short enough to meet the target if the queue shrinks meanwhile, because later answers are worth less to the client. */
     private fun retryAfter(
         wait: Duration,
@@ -283,6 +331,8 @@
     }
 
     private companion object {
+        /** Tokens of a typical request, which relates limits in requests to limits in tokens. */
+        const val MEAN_TOKENS = 1_000L
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -26,6 +26,8 @@
         val processStartedAtMillis: Long = 0,
         val expiresAt: Duration,
         val isSuspect: Boolean = false,
+        val priority: Int = 0,
+        val request: DispatchRequest? = null,
     )
 
     private val requests = HashMap<Pair<String, Long>, TrackedRequest>()
@@ -48,13 +50,15 @@
                 workspace = request.workspace,
                 charge = request.charge,
                 pendingTokens = promptTokens,
-                kvTokens = promptTokens,
+                kvTokens = fleet.kvUse(request),
                 sentAt = now + hold,
                 work = workUntilAnswer(request, server, now).takeIf { hold <= MAX_MEASURED_HOLD },
                 running = server.runningRequests,
                 processStartedAtMillis = server.report.startedAtMillis,
                 expiresAt = expiresAt,
                 isSuspect = request.isSuspect,
+                priority = request.priority,
+                request = request,
             )
         track(request.entry to request.number, server, tracked, now)
     }
@@ -63,7 +67,7 @@
         request: DispatchRequest,
         server: DispatchServer,
         now: Duration,
-    ): Double = if (server.report.models == null) server.plainWork else server.remainingPromptTokens(now) + request.promptTokens
+    ): Double = if (server.report.models == null) server.plainWork else server.remainingPromptTokens(now, fleet.waitPriority(request)) + request.promptTokens
 
     /** Restores the requests that [entry] reports as running. Requests that are known already are skipped. */
     fun restoreRequests(
@@ -78,7 +82,17 @@
             val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
             val promptTokens = request.promptTokens
             val tracked =
-                TrackedRequest(request.server, request.adapter, null, 0, promptTokens, promptTokens, sentAt = now, expiresAt = expiresAt)
+                TrackedRequest(
+                    server = request.server,
+                    adapter = request.adapter,
+                    workspace = null,
+                    charge = 0,
+                    pendingTokens = promptTokens,
+                    kvTokens = promptTokens,
+                    sentAt = now,
+                    expiresAt = expiresAt,
+                    priority = request.priority,
+                )
             track(key, server, tracked, now)
         }
     }
@@ -109,6 +123,7 @@
             RequestStep.ENDED -> {
                 if (server?.report?.models == null) server?.let { observe(it, tracked, now) }
                 remove(key, tracked)
+                if (tracked.request != null && event.outputTokens != null) fleet.outputEstimate.observe(tracked.request, event.outputTokens)
             }
 
             RequestStep.NOT_RUN, RequestStep.NOT_HELD, RequestStep.UNREACHABLE -> {
@@ -142,7 +157,7 @@
         if (tracked.isSuspect) server.runningSuspects++
         if (server.pendingPrompts == 0) server.promptStartedAt = tracked.sentAt
         if (tracked.pendingTokens > 0) server.pendingPrompts++
-        server.pendingPromptTokens += tracked.pendingTokens
+        server.pendingPromptTokens.add(tracked.priority, tracked.pendingTokens)
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
         slot.inFlight++
@@ -153,7 +168,7 @@
         val server = fleet[tracked.server]
         if (server != null && tracked.pendingTokens > 0) {
             server.pendingPrompts--
-            server.pendingPromptTokens -= tracked.pendingTokens
+            server.pendingPromptTokens.add(tracked.priority, -tracked.pendingTokens)
         }
         tracked.pendingTokens = 0
     }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -1,5 +1,6 @@
 package anvilslip.standin
 
+import anvilslip.policy.AdmissionOptions
 import anvilslip.policy.DispatchOptions
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,7 +24,30 @@
     val workspaces: List<Double> = listOf(0.45, 0.30, 0.15, 0.07, 0.03),
     /** Rate limit of a workspace in tokens per second, as a multiple of its mean demand. */
     val limitFactor: Double = 1.8,
+    val kinds: List<TrialKind> = TrialKind.DEFAULT,
     val targetLatency: Duration = 1.seconds,
     /** Maximum time that a request waits at the leader while its adapter is loaded. */
     val placementWait: Duration = 100.milliseconds,
-)
+    /** Loads that the weight store carries at full speed. */
+    val fullSpeedLoads: Int = 8,
+    val admission: AdmissionOptions = AdmissionOptions(),
+) {
+    public companion object {
+        /** A deployment of [engines] engines with requests of three priorities, of which most find their adapter loaded. */
+        public fun ofManyEngines(
+            engines: Int,
+            dispatch: DispatchOptions = DispatchOptions(),
+        ): DispatchTrialOptions =
+            DispatchTrialOptions(
+                engines = engines,
+                dispatch = dispatch,
+                adapters = 1_000,
+                skew = 1.4,
+                kinds = TrialKind.BY_PRIORITY,
+                fullSpeedLoads = (engines * LOADS_PER_ENGINE).toInt(),
+            )
+
+        /** The store carries 64 loads at full speed on 98 engines. */
+        private const val LOADS_PER_ENGINE = 0.65
+    }
+}
