--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -143,6 +143,7 @@
         server: DispatchServer,
         request: DispatchRequest,
     ): Duration = cost(server, request) + server.promptTime(request.promptTokens)
+
     /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
     fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
 
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -67,7 +67,14 @@
         request: DispatchRequest,
         server: DispatchServer,
         now: Duration,
-    ): Double = if (server.report.models == null) server.plainWork else server.remainingPromptTokens(now, fleet.waitPriority(request)) + request.promptTokens
+    ): Double =
+        if (server.report.models ==
+            null
+        ) {
+            server.plainWork
+        } else {
+            server.remainingPromptTokens(now, fleet.waitPriority(request)) + request.promptTokens
+        }
 
     /** Restores the requests that [entry] reports as running. Requests that are known already are skipped. */
     fun restoreRequests(
