--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -212,7 +212,7 @@
         if (refusal == null) {
             queue.removePlaced(waiting, isAged)
             answer(waiting, admission, now)
-        } else if (refusal.reason == DispatchRefusal.NO_SERVER || now > waiting.latestUsefulStartAt) {
+        } else if (refusal.reason in FINAL_REASONS || now > waiting.latestUsefulStartAt) {
             queue.remove(waiting)
             answer(waiting, refused(queue, waiting.requestAt(now), refusal), now)
         } else {
@@ -309,6 +309,9 @@
     private companion object {
         val QUEUED_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY)
 
+        /** Reasons that do not pass while a request waits. */
+        val FINAL_REASONS = setOf(DispatchRefusal.NO_SERVER, DispatchRefusal.EVACUATED)
+
         /** Requests tried out of order in one pass, of which the first may be one that cannot be placed. */
         const val AGED_TRIES_PER_PASS = 2
         const val MAX_RETRY_DIVISOR = 3
--- a/policy/src/test/kotlin/anvilslip/policy/AdmissionControlSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/AdmissionControlSpec.kt
@@ -59,6 +59,20 @@
                 refusal.retryMillis shouldBeLessThan 18
             }
 
+            // Guards against requests that wait until their deadline although no server of the service may be used any more.
+            it("is refused at the next try if the zones of all servers are evacuated") {
+                val queue = full()
+                queue.ask(queue.request()).shouldBeNull()
+                queue.dispatcher.setEvacuatedZones(setOf("z1"))
+                val refusal =
+                    queue
+                        .wakeAfter(20.milliseconds)
+                        .single()
+                        .decision
+                        .shouldBeInstanceOf<DispatchDecision.Refuse>()
+                refusal.reason shouldBe DispatchRefusal.EVACUATED
+            }
+
             it("is refused when its deadline comes too close") {
                 val queue = full()
                 queue.ask(queue.request(remaining = 200.milliseconds)).shouldBeNull()
