Answer in time while an engine is silent; count requests on the servers that they were sent to; keep delegates off evacuated and cold servers

Found by a review of the merged parts, by reading: - An engine that did not answer an order held the leader's answer back for 450 ms and more, after which the entry instance took the leader for lost for all its requests. It now gets Wait after 400 ms at the latest and asks again (LeaderDispatchSpec). - After three failed loads a fourth was reserved and never ordered, so its slot was lost for the term. - A server that was missing for a moment came back as a new object, from which requests of before were subtracted (DispatcherSpec). - Load delegates ordered loads on servers in evacuated zones, and on cold ones, to which nothing could be sent afterwards. - Capacity counted evacuated engines, so that requests waited that could not be served in time. Ruled out: the same for polls of older instances, which tell no revision; a spec needs them to be woken.

--- a/gateway/src/main/kotlin/anvilslip/gateway/DelegateClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DelegateClient.kt
@@ -98,7 +98,7 @@
     ): Boolean {
         val engines =
             LoadRanking
-                .homeEngines(request.service, adapter.model, adapter.adapter, clusterView.servers())
+                .homeEngines(request.service, adapter.model, adapter.adapter, clusterView.servers().filter(::isUsable))
                 .filter { it.id !in request.exclude }
                 .sortedBy { countRunning(it.id) }
         val version = clusterView.active.versions[adapter]
@@ -117,6 +117,8 @@
         }
     }
 
+    private fun isUsable(server: ServerReport): Boolean = !clusterView.isEvacuated(server) && !clusterView.isCold(server)
+
     private suspend fun awaitLoaded(
         engine: ServerReport,
         adapter: AdapterName,
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -123,12 +123,17 @@
                 }
 
                 is Admission.Load -> {
-                    if (++loadCount > MAX_LOADS) return refuseLoading(term)
-                    load(term, admission.order)
+                    if (++loadCount > MAX_LOADS) {
+                        // The adapter slot is reserved already, so the order must be carried out for other requests.
+                        scope.launch { load(term, admission.order) }
+                        return refuseLoading(term)
+                    }
+                    if (!finishes(receivedAt) { load(term, admission.order) }) return waitReply(term)
                 }
 
                 is Admission.AwaitOrder -> {
-                    term.pendingOrders[admission.server to admission.adapter]?.await() ?: delay(ORDER_POLL)
+                    val order = term.pendingOrders[admission.server to admission.adapter]
+                    if (!finishes(receivedAt) { order?.await() ?: delay(ORDER_POLL) }) return waitReply(term)
                 }
             }
             isReserved = true
@@ -177,6 +182,15 @@
         if (synchronized(lock) { term.admissions.recordChange() }) changes.trySend(Unit)
     }
 
+    /** Waits for [action]; returns false once the entry instance that asked at [receivedAt] needs an answer. */
+    private suspend fun finishes(
+        receivedAt: Duration,
+        action: suspend () -> Unit,
+    ): Boolean = withTimeoutOrNull(QUESTION_TIMEOUT - (clock.elapsed() - receivedAt)) { action() } != null
+
+    /** Makes the entry instance ask again. Without an answer, it would take a leader that waits for an engine for one that is lost. */
+    private fun waitReply(term: LeaderTerm) = PeerMessage.AdmitReply(term.number, DispatchDecision.Wait)
+
     private fun refuseLoading(term: LeaderTerm): PeerMessage {
         val refusal = DispatchDecision.Refuse(DispatchRefusal.LOADING, options.adapterLoad.inWholeMilliseconds)
         return PeerMessage.AdmitReply(term.number, refusal)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
@@ -122,7 +122,7 @@
         val term = reachability.cutOffTerm ?: return null
         if (host !in LoadRanking.delegates(ask.server, clusterView.entryHosts)) return null
         val report = clusterView.servers().firstOrNull { it.id == ask.server && it.service == ask.service } ?: return null
-        if (report.phase != ServerPhase.READY) return null
+        if (report.phase != ServerPhase.READY || clusterView.isEvacuated(report) || clusterView.isCold(report)) return null
         val active = clusterView.active
         val engine =
             active.configuration
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -272,5 +272,34 @@
                 decision.shouldBeInstanceOf<DispatchDecision.Send>()
                 scripted.sentOrders.size shouldBe 0
             }
+
+            // Guards against a leader that an entry instance takes for lost, because one engine does not answer an order.
+            it("answers before its entry instance gives up if an engine does not answer an order") {
+                val scripted = ScriptedEngineClient(inventory = EngineInventory(0, listOf(LoadedModel("m", emptyMap()))))
+                val silent =
+                    object : EngineClient by scripted {
+                        override suspend fun sendOrder(
+                            order: EngineOrder,
+                            fencingToken: Long,
+                        ): OrderReply {
+                            delay(10.seconds)
+                            return OrderReply.UNANSWERED
+                        }
+                    }
+                val leader = leaderOfEngine(silent) { leading }
+                leader.start()
+                val request = request(1).copy(service = "llm", model = "m", adapter = "x")
+                val decision =
+                    withTimeoutOrNull(8.seconds) {
+                        while (true) {
+                            val reply = withTimeoutOrNull(450.milliseconds) { leader.admit(request) }
+                            val decision = reply.shouldBeInstanceOf<PeerMessage.AdmitReply>().decision
+                            if (decision !is DispatchDecision.Refuse) return@withTimeoutOrNull decision
+                            delay(10.milliseconds)
+                        }
+                    }
+                leader.stop()
+                decision shouldBe DispatchDecision.Wait
+            }
         }
     })
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -55,9 +55,13 @@
         readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
     }
 
-    /** Number of ready servers of [service]. */
+    /** Number of ready servers of [service], also those in zones under evacuation. */
     fun readyCount(service: String): Int = readyServers[service] ?: 0
 
+    /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
+    fun capacity(service: String): Double =
+        prefillSpeed(service) * servers.count { it.report.service == service && it.isReady && !isEvacuated(it) }
+
     /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
     fun isQueued(service: String): Boolean =
         readyCount(service) >= options.minQueueEngines && configuration.services[service]?.engine != null
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -157,7 +157,7 @@
     internal fun expectedOutput(request: DispatchRequest): Int = fleet.outputEstimate.expected(request)
 
     /** Prompt tokens per millisecond that the ready engines of [service] process together. */
-    internal fun capacity(service: String): Double = fleet.prefillSpeed(service) * fleet.readyCount(service)
+    internal fun capacity(service: String): Double = fleet.capacity(service)
 
     /** Time until the limit of its workspace allows [request] after [reserved] tokens of requests that wait. */
     internal fun limitWait(
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -28,7 +28,11 @@
         val isSuspect: Boolean = false,
         val priority: Int = 0,
         val request: DispatchRequest? = null,
-    )
+    ) {
+        /** The objects that count the request. A server that was missing for a moment returns as another object, which does not. */
+        var countedBy: DispatchServer? = null
+        var slot: AdapterSlot? = null
+    }
 
     private val requests = HashMap<Pair<String, Long>, TrackedRequest>()
 
@@ -160,6 +164,7 @@
     ) {
         requests[key]?.let { remove(key, it) }
         requests[key] = tracked
+        tracked.countedBy = server
         server.runningRequests++
         if (tracked.isSuspect) server.runningSuspects++
         if (server.pendingPrompts == 0) server.promptStartedAt = tracked.sentAt
@@ -167,12 +172,13 @@
         server.pendingPromptTokens.add(tracked.priority, tracked.pendingTokens)
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
+        tracked.slot = slot
         slot.inFlight++
         slot.lastUsedAt = now
     }
 
     private fun markPromptProcessed(tracked: TrackedRequest) {
-        val server = fleet[tracked.server]
+        val server = tracked.countedBy
         if (server != null && tracked.pendingTokens > 0) {
             server.pendingPrompts--
             server.pendingPromptTokens.add(tracked.priority, -tracked.pendingTokens)
@@ -186,11 +192,11 @@
     ) {
         markPromptProcessed(tracked)
         requests.remove(key)
-        val server = fleet[tracked.server] ?: return
+        val server = tracked.countedBy ?: return
         server.runningRequests--
         if (tracked.isSuspect) server.runningSuspects--
         server.kvTokens -= tracked.kvTokens
-        tracked.adapter?.let { server.adapterSlots[it] }?.let { it.inFlight-- }
+        tracked.slot?.let { it.inFlight-- }
     }
 
     private companion object {
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -338,4 +338,23 @@
                 (dispatcher.decide(suspect(other.single())) as DispatchDecision.Send).server shouldBe server
             }
         }
+
+        describe("a server that is missing for a moment") {
+            // Guards against requests from before that are subtracted from the server after its return, so that it attracts all others.
+            it("counts only the requests that were sent to it since its return") {
+                val dispatcher = dispatcher(server("s1"), server("s2"))
+
+                fun decide(request: DispatchRequest): DispatchDecision.Send? {
+                    val admission = dispatcher.admit(request, 1.seconds) as? Admission.Decided
+                    return admission?.decision as? DispatchDecision.Send
+                }
+                val before = List(6) { request() }
+                before.forEach { decide(it) }
+                dispatcher.updateServers(listOf(server("s2")), 1.seconds)
+                dispatcher.updateServers(listOf(server("s1"), server("s2")), 1.seconds)
+                dispatcher.applyEvents("e", before.map { RequestEvent(it.number, RequestStep.ENDED) }, 1.seconds)
+                val after = List(8) { decide(request()) }
+                after.groupingBy { it?.server }.eachCount() shouldBe mapOf("s1" to 4, "s2" to 4)
+            }
+        }
     })
