Keep the weight of a waiting workspace until its queue is empty; derive ping times from the round interval

The sum of the weights of backlogged workspaces drifted if the configuration changed while requests waited, since a workspace was subtracted with another weight than it was added with. The sum determines the expected wait of all other workspaces.

The retry time of an undecided load delegate is the interval between two rounds of pings, and the age above which a cut-off is no longer trusted follows from that interval and the time-out of a ping. Neither value changes.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlReachability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlReachability.kt
@@ -157,12 +157,14 @@
 
         /** Control instances answer pings before any other work, so one that runs answers within a few milliseconds. */
         private val PING_TIMEOUT = 250.milliseconds
-        private val ROUND_INTERVAL = 300.milliseconds
+
+        /** Time from the start of one round of pings to the start of the next. */
+        internal val ROUND_INTERVAL = 300.milliseconds
 
         /** One round can fail because connections are being replaced. */
         private const val SILENT_ROUNDS = 2
 
-        /** A round ends at most [ROUND_INTERVAL] + [PING_TIMEOUT] after the one before. */
-        private val MAX_AGE = 800.milliseconds
+        /** A round ends at most [ROUND_INTERVAL] + [PING_TIMEOUT] after the one before; the rest allows for delays in scheduling. */
+        private val MAX_AGE = ROUND_INTERVAL + PING_TIMEOUT * 2
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
@@ -236,8 +236,8 @@
         /** The load is not possible: no free place, not the delegate, not cut off, or the engine does not answer. */
         private val UNAVAILABLE = DelegateLoadReply(false)
 
-        /** It is not known yet whether this instance is cut off; two rounds of pings take this long. */
-        private val UNDECIDED = DelegateLoadReply(false, 300)
+        /** It is not known yet whether this instance is cut off. The next round of pings starts within this time. */
+        private val UNDECIDED = DelegateLoadReply(false, ControlReachability.ROUND_INTERVAL.inWholeMilliseconds)
 
         /** Control instances that can be reached answer pings within this time. */
         private val DECISION_TIMEOUT = 50.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/PriorityQueueLevel.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/PriorityQueueLevel.kt
@@ -26,7 +26,7 @@
     /** Work that is started before that of a new request of [workspace], which other workspaces delay only by their fair share. */
     fun workAhead(workspace: String): Double {
         val own = workspaces[workspace]?.takeIf { it.members.isNotEmpty() } ?: return 0.0
-        return minOf(work.toDouble(), own.normalizedWork(weightOf(workspace)) * backloggedWeight)
+        return minOf(work.toDouble(), own.normalizedWork * backloggedWeight)
     }
 
     /** The request to try next, or null if none can be tried now. */
@@ -35,7 +35,7 @@
     /** The request that would be served last. */
     fun last(): WaitingRequest? {
         val backlogged = workspaces.values.filter { it.members.isNotEmpty() }
-        val latest = backlogged.maxWithOrNull(compareBy({ it.virtualTime + it.normalizedWork(weightOf(it.name)) }, { it.name }))
+        val latest = backlogged.maxWithOrNull(compareBy({ it.virtualTime + it.normalizedWork }, { it.name }))
         return latest?.last
     }
 
@@ -43,7 +43,8 @@
         val workspace = workspaces.getOrPut(request.workspace) { WorkspaceQueue(request.workspace) }
         if (workspace.members.isEmpty()) {
             workspace.virtualTime = maxOf(workspace.virtualTime, virtualTime)
-            backloggedWeight += weightOf(request.workspace)
+            workspace.weight = weightOf(request.workspace)
+            backloggedWeight += workspace.weight
         }
         workspace.add(request)
         workspace.waitingWork += request.work
@@ -59,7 +60,7 @@
         size--
         work -= request.work
         if (workspace.members.isNotEmpty()) return
-        backloggedWeight = if (size == 0) 0.0 else backloggedWeight - weightOf(workspace.name)
+        backloggedWeight = if (size == 0) 0.0 else backloggedWeight - workspace.weight
         if (workspace.virtualTime <= virtualTime) workspaces.remove(workspace.name)
     }
 
@@ -88,7 +89,7 @@
         withOnTime -= workspace
         withLate -= workspace
         virtualTime = maxOf(virtualTime, workspace.virtualTime)
-        workspace.virtualTime += request.work / weightOf(request.workspace)
+        workspace.virtualTime += request.work / workspace.weight
         if (workspace.onTime.isNotEmpty()) withOnTime += workspace
         if (workspace.late.isNotEmpty()) withLate += workspace
         if (workspaces.size > MAX_IDLE_WORKSPACES) workspaces.values.removeIf { it.members.isEmpty() && it.virtualTime <= virtualTime }
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
@@ -9,6 +9,9 @@
     /** Tokens placed, divided by the weight of the workspace; the workspace with the lowest value is served next. */
     var virtualTime = 0.0
 
+    /** Weight of the workspace when its first member joined; a later configuration applies once no member is left. */
+    var weight = 1.0
+
     /** Work of all members. */
     var waitingWork = 0L
 
@@ -25,7 +28,7 @@
     val last: WaitingRequest get() = lateByAge.lastOrNull() ?: members.last()
 
     /** Work of all members divided by [weight], which competing workspaces get through in the same time. */
-    fun normalizedWork(weight: Double): Double = waitingWork / weight
+    val normalizedWork: Double get() = waitingWork / weight
 
     fun add(request: WaitingRequest) {
         members += request
