--- a/gateway/src/main/kotlin/anvilslip/gateway/AdapterHolders.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdapterHolders.kt
@@ -1,14 +1,11 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.LruMap
 import anvilslip.state.AdapterName
 
 /** Servers that have recently served an adapter, bounded per adapter and in all. Not thread-safe. */
 internal class AdapterHolders {
-    private val holders =
-        object : LinkedHashMap<AdapterName, LinkedHashSet<String>>(INITIAL_SIZE, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<AdapterName, LinkedHashSet<String>>): Boolean =
-                size > MAX_ADAPTERS
-        }
+    private val holders = LruMap<AdapterName, LinkedHashSet<String>>(MAX_ADAPTERS)
 
     /** Returns the servers known to hold [adapter]. */
     operator fun get(adapter: AdapterName): Set<String> = holders[adapter].orEmpty()
@@ -33,8 +30,6 @@
     }
 
     private companion object {
-        const val INITIAL_SIZE = 64
-        const val LOAD_FACTOR = 0.75f
         const val MAX_ADAPTERS = 512
 
         /** Busy adapters have more copies, but two candidates are enough for a choice. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionMetrics.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionMetrics.kt
@@ -12,7 +12,7 @@
     /** Requests that wait at the leader, by priority. */
     public val waiting: Gauge = metrics.gauge("anvilslip_admission_waiting", "Requests that wait for admission", "priority")
 
-    /** Seconds that answered requests have waited at the leader, by priority. */
+    /** Seconds that admitted requests have waited at the leader, by priority. */
     public val waitTime: Histogram = metrics.histogram("anvilslip_admission_wait_seconds", "Wait of admitted requests", "priority")
 
     /** Requests that the leader has refused, by reason and priority. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -151,7 +151,7 @@
             for (zone in next.zones - previous.zones) recordEvacuationChange(zone, isActive = true, next.revision)
             for (zone in previous.zones - next.zones) {
                 // Its servers may have become cold without a report that has reached this instance.
-                coldServers.coolDown(zone, clock.elapsed())
+                coldServers.markZoneCold(zone, clock.elapsed())
                 recordEvacuationChange(zone, isActive = false, next.revision)
             }
         }
--- a/gateway/src/main/kotlin/anvilslip/gateway/DelegateClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DelegateClient.kt
@@ -27,7 +27,7 @@
 
 /**
  * Asks load delegates for adapters that no known server holds, while this entry instance is cut off from control. Each adapter is asked
- * for once at a time; concurrent requests for it share the question.
+ * for once at a time; concurrent requests for it share the lookup.
  */
 public class DelegateClient(
     private val host: String,
@@ -43,7 +43,7 @@
 ) : Service {
     override val name: String = NAME
     private val log = EventLogger("delegate")
-    private val questions = ConcurrentHashMap<Pair<String, AdapterName>, Deferred<Boolean>>()
+    private val inFlightLookups = ConcurrentHashMap<Pair<String, AdapterName>, Deferred<Boolean>>()
     private val connectionsUsedAt = ConcurrentHashMap<String, Duration>()
     private val silentUntil = ConcurrentHashMap<String, Duration>()
     private val refusedUntil = ConcurrentHashMap<AdapterName, Duration>()
@@ -72,23 +72,23 @@
         val deadline = clock.elapsed() + timeout
         reachability.awaitDecision(timeout)
         if (reachability.cutOffTerm == null || isRefused(adapter)) return false
-        val question = question(request, adapter, deadline)
-        return withTimeoutOrNull(deadline - clock.elapsed()) { question.await() } ?: false
+        val lookup = sharedLookup(request, adapter, deadline)
+        return withTimeoutOrNull(deadline - clock.elapsed()) { lookup.await() } ?: false
     }
 
     private fun isRefused(adapter: AdapterName): Boolean = refusedUntil[adapter]?.let { clock.elapsed() < it } ?: false
 
-    private fun question(
+    private fun sharedLookup(
         request: DispatchRequest,
         adapter: AdapterName,
         deadline: Duration,
     ): Deferred<Boolean> {
         val key = request.service to adapter
         var created: Deferred<Boolean>? = null
-        // The question outlives the request that asked it first, because others may wait for it.
-        val question = questions.computeIfAbsent(key) { scope.async { ask(request, adapter, deadline) }.also { created = it } }
-        created?.invokeOnCompletion { questions.remove(key, question) }
-        return question
+        // The lookup outlives the request that started it, because others may wait for it.
+        val lookup = inFlightLookups.computeIfAbsent(key) { scope.async { ask(request, adapter, deadline) }.also { created = it } }
+        created?.invokeOnCompletion { inFlightLookups.remove(key, lookup) }
+        return lookup
     }
 
     private suspend fun ask(
--- a/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
@@ -13,6 +13,7 @@
 import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
+import anvilslip.wire.PeerFormat
 import anvilslip.wire.PeerMessage
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -22,17 +23,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.yield
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.cbor.Cbor
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Makes the runtime compile the code that decides on requests before the first request arrives, by deciding on made-up requests for the
- * servers that have reported, with a [Dispatcher] of its own whose decisions nobody carries out. Otherwise the first hundreds of decisions
- * are interpreted, and a leader on a fraction of a core loses its lease under the first second of traffic.
- *
- * Runs only in a new deployment: an instance that has a configuration when it starts may already be needed for traffic.
+ * Triggers JIT compilation of the admission path with synthetic requests before traffic arrives, since interpreted code can delay the
+ * renewal of the lease. Uses a [Dispatcher] of its own whose decisions are discarded. Runs only if no configuration is stored when the
+ * instance starts.
  */
 @OptIn(ExperimentalSerializationApi::class)
 internal class DispatchWarmUp(
@@ -57,13 +55,13 @@
         while (clusterView.active.configuration == null || clusterView.servers().isEmpty()) delay(POLL_INTERVAL)
         delay(REPORT_PERIOD)
         val configuration = clusterView.active.configuration ?: return 0
-        val sent = Rehearsal(configuration, clusterView.servers(), options).decideAll()
-        log.info("decisions_rehearsed", "requests" to REQUESTS, "sent" to sent)
+        val sent = SyntheticWorkload(configuration, clusterView.servers(), options).decideAll()
+        log.info("warm_up_completed", "requests" to REQUESTS, "sent" to sent)
         return sent
     }
 
-    /** The made-up requests, in virtual time. */
-    private class Rehearsal(
+    /** The synthetic requests, in virtual time. */
+    private class SyntheticWorkload(
         configuration: ServingConfiguration,
         private val servers: List<ServerReport>,
         options: DispatchOptions,
@@ -72,7 +70,7 @@
         private var now = Duration.ZERO
 
         init {
-            // Without the limits of workspaces, whose names the made-up requests do not state.
+            // Without the limits of workspaces, whose names the synthetic requests do not state.
             dispatcher.configure(configuration.copy(workspaces = emptyList()), emptyMap(), now)
             dispatcher.updateServers(servers, now)
             for (engine in dispatcher.enginesToQuery(now)) {
@@ -108,8 +106,8 @@
         private fun reply(decision: DispatchDecision) = (transmit(PeerMessage.AdmitReply(1, decision)) as PeerMessage.AdmitReply).decision
 
         private fun transmit(message: PeerMessage): PeerMessage {
-            val bytes = cbor.encodeToByteArray(PeerMessage.serializer(), message)
-            return cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+            val bytes = PeerFormat.cbor.encodeToByteArray(PeerMessage.serializer(), message)
+            return PeerFormat.cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
         }
 
         private fun finish(number: Int) {
@@ -138,13 +136,6 @@
     }
 
     private companion object {
-        /** Configured as for messages between instances, so that the same code is compiled. */
-        val cbor =
-            Cbor {
-                ignoreUnknownKeys = true
-                encodeDefaults = false
-                preferCborLabelsOverNames = true
-            }
         const val ENTRY = "warm-up"
 
         /** Enough for the runtime to compile the code; it does so after about 200 calls. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -55,6 +55,9 @@
     var lastBreakAt: Duration? = null
     var lastTerm: Long? = null
 
-    /** Gives up the attempt in progress and returns true if a server may have received the request in it or may have run it before. */
-    fun mayHaveRunWhenGivenUp(): Boolean = gate?.tryClose() == false || possibleRuns > 0
+    /**
+     * Cancels the current attempt. Returns true if a server may have received the request in this attempt or run it in an earlier
+     * one.
+     */
+    fun cancelAttempt(): Boolean = gate?.tryClose() == false || possibleRuns > 0
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -128,6 +128,7 @@
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
                 // The leader refunds the tokens of a request that was not run, so the next admission must charge them again.
                 exchange.isCharged = exchange.possibleRuns > 0
+                if (clusterView.isEvacuated(attempt.decision.server)) excludeEvacuatedServers(exchange)
                 return null
             }
             exchange.attempts++
@@ -144,11 +145,12 @@
     private fun isRevoked(
         exchange: Exchange,
         server: String,
-    ): Boolean {
-        val isEvacuated = clusterView.isEvacuated(server)
-        // A leader that does not know of the evacuation yet would choose the next server of the zone.
-        if (isEvacuated) exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
-        return isEvacuated || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
+    ): Boolean =
+        clusterView.isEvacuated(server) || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
+
+    /** Excludes the servers of evacuated zones, since a leader that does not know of the evacuation yet would choose the next of them. */
+    private fun excludeEvacuatedServers(exchange: Exchange) {
+        exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
     }
 
     /** The events of a stream are numbered by token. */
@@ -196,11 +198,9 @@
         }
         val waited = now - exchange.startedAt
         // An evacuation does not end because a leader is elected.
-        if (term != null || refusal.reason == DispatchRefusal.EVACUATED ||
-            waited > exchange.route.target * LEADERLESS_WAIT_SHARE
-        ) {
-            return false
-        }
+        val electionMayHelp = term == null && refusal.reason != DispatchRefusal.EVACUATED
+        val maxWait = exchange.route.target * LEADERLESS_WAIT_SHARE
+        if (!electionMayHelp || waited > maxWait) return false
         delay(LEADERLESS_POLL)
         return true
     }
@@ -336,7 +336,7 @@
      * attempts were turned away or gave up before a byte was sent.
      */
     private suspend fun failExpired(exchange: Exchange): String =
-        fail(exchange, if (exchange.mayHaveRunWhenGivenUp()) GATEWAY_TIMEOUT else UNAVAILABLE, "timed_out", null)
+        fail(exchange, if (exchange.cancelAttempt()) GATEWAY_TIMEOUT else UNAVAILABLE, "timed_out", null)
 
     private suspend fun fail(
         exchange: Exchange,
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -3,7 +3,6 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
-import anvilslip.kernel.isFatal
 import anvilslip.kernel.launchPeriodically
 import anvilslip.kernel.launchSupervised
 import anvilslip.policy.Admission
@@ -30,9 +29,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -62,8 +59,8 @@
     ) {
         val admissions = AdmissionControl(dispatcher)
 
-        /** Questions that have not been answered, because their requests wait; guarded by the lock. */
-        val pendingQuestions = HashMap<RequestKey, CompletableDeferred<Admission>>()
+        /** Admissions that have not been decided, because their requests wait; guarded by the lock. */
+        val pendingAdmissions = HashMap<RequestKey, CompletableDeferred<Admission>>()
         var canSendOrders = false
         val fencing = LeaderFencing(number)
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
@@ -98,8 +95,8 @@
         scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
         scope.launchSupervised("admission queue") { recordProgress ->
             while (true) {
-                awaitNextPass()
-                passQueue()
+                awaitQueueWakeUp()
+                processQueue()
                 recordProgress()
             }
         }
@@ -136,7 +133,7 @@
     }
 
     /** Waits until there may be something to do for the queue: an event, or the time that the queue has named. */
-    private suspend fun awaitNextPass() {
+    private suspend fun awaitQueueWakeUp() {
         while (true) {
             val nextAt = synchronized(lock) { lastTerm?.admissions?.nextWakeAt }
             val remaining = if (nextAt == null) Duration.INFINITE else nextAt - clock.elapsed()
@@ -145,11 +142,11 @@
         }
     }
 
-    /** Answers the questions about waiting requests that can start now, or have waited as long as their entry instances may. */
-    private fun passQueue() {
+    /** Decides on waiting requests that can start now, and answers those that have waited as long as their entry instances may. */
+    private fun processQueue() {
         val term = currentTerm()
         if (term == null) {
-            lastTerm?.let(::abandonQuestions)
+            lastTerm?.let(::cancelPendingAdmissions)
             admissionLog.recordWaiting(emptyMap())
             return
         }
@@ -158,19 +155,19 @@
                 refreshDispatcher(term)
                 for (answer in term.admissions.wake(clock.elapsed())) {
                     registerOrder(term, answer.admission)
-                    term.pendingQuestions.remove(answer.key)?.complete(answer.admission)
+                    term.pendingAdmissions.remove(answer.key)?.complete(answer.admission)
                 }
                 term.admissions.waitingByPriority
             }
         admissionLog.recordWaiting(sizes)
     }
 
-    /** Ends the pending questions of [term], which is over or whose lease has lapsed; their entry instances ask again. */
-    private fun abandonQuestions(term: LeaderTerm) =
+    /** Cancels the pending admissions of [term], which is over or whose lease has lapsed; their entry instances ask again. */
+    private fun cancelPendingAdmissions(term: LeaderTerm) =
         synchronized(lock) {
             term.admissions.clear()
-            for (question in term.pendingQuestions.values) question.cancel()
-            term.pendingQuestions.clear()
+            for (pending in term.pendingAdmissions.values) pending.cancel()
+            term.pendingAdmissions.clear()
         }
 
     private fun signalChange(term: LeaderTerm) {
@@ -200,7 +197,7 @@
         key: RequestKey,
     ) {
         term.admissions.withdraw(key)
-        term.pendingQuestions.remove(key)?.cancel()
+        term.pendingAdmissions.remove(key)?.cancel()
     }
 
     private fun notLeader() = PeerMessage.NotLeader(replicaView().leader?.instance)
@@ -213,36 +210,36 @@
         isReserved: Boolean,
     ): Admission? {
         val key = RequestKey(request.entry, request.number)
-        val question = CompletableDeferred<Admission>()
+        val pending = CompletableDeferred<Admission>()
         synchronized(lock) {
             refreshDispatcher(term)
             val admission = term.admissions.ask(request, receivedAt, clock.elapsed(), isReserved)
             if (admission != null) return admission.also { registerOrder(term, it) }
-            term.pendingQuestions.put(key, question)?.complete(Admission.Decided(DispatchDecision.Wait))
+            term.pendingAdmissions.put(key, pending)?.complete(Admission.Decided(DispatchDecision.Wait))
         }
         changes.trySend(Unit)
         try {
-            withTimeoutOrNull(QUESTION_TIMEOUT) { question.join() }
+            withTimeoutOrNull(QUEUE_WAIT_TIMEOUT) { pending.join() }
         } catch (e: CancellationException) {
             // The adapter slot is reserved, so the order must be carried out.
-            if (!giveUp(term, key, question)) {
-                (question.getCompleted() as? Admission.Load)?.let { scope.launch { load(term, it.order) } }
+            if (!withdrawIfPending(term, key, pending)) {
+                (pending.getCompleted() as? Admission.Load)?.let { scope.launch { load(term, it.order) } }
             }
             throw e
         }
-        return if (giveUp(term, key, question)) null else question.await()
+        return if (withdrawIfPending(term, key, pending)) null else pending.await()
     }
 
-    /** Removes the request [key] from the queue if its [question] is not answered. Returns false if it is answered. */
-    private fun giveUp(
+    /** Removes the request [key] from the queue if its admission is still [pending]. Returns false if it is decided. */
+    private fun withdrawIfPending(
         term: LeaderTerm,
         key: RequestKey,
-        question: CompletableDeferred<Admission>,
+        pending: CompletableDeferred<Admission>,
     ): Boolean =
         synchronized(lock) {
-            val isPending = term.pendingQuestions.remove(key, question)
+            val isPending = term.pendingAdmissions.remove(key, pending)
             if (isPending) term.admissions.withdraw(key)
-            isPending || question.isCancelled
+            isPending || pending.isCancelled
         }
 
     private fun registerOrder(
@@ -268,13 +265,12 @@
     ): LeaderTerm {
         log.info("term_began", "term" to number, "has_predecessor" to hasPredecessor)
         val now = clock.elapsed()
-        lastTerm?.let(::abandonQuestions)
-        return LeaderTerm(
-            number,
-            Dispatcher(options, now, hasPredecessor, clusterView.coldServers),
-            lastLeader,
-            now,
-        ).also(::refreshDispatcher).also { lastTerm = it }
+        lastTerm?.let(::cancelPendingAdmissions)
+        val dispatcher = Dispatcher(options, now, hasPredecessor, clusterView.coldServers)
+        val term = LeaderTerm(number, dispatcher, lastLeader, now)
+        refreshDispatcher(term)
+        lastTerm = term
+        return term
     }
 
     private fun refreshDispatcher(term: LeaderTerm) {
@@ -350,7 +346,7 @@
         term: LeaderTerm,
         server: ServerReport,
     ) = serverLock(term, server.id).withLock {
-        val inventory = orNullOnFailure(server.id) { engineClient.queryInventory(server.id, server.address) }
+        val inventory = orNullOnFailure(log, server.id) { engineClient.queryInventory(server.id, server.address) }
         log.info(
             "server_surveyed",
             "server" to server.id,
@@ -419,7 +415,7 @@
         if (clusterView.isEvacuated(order.server)) return OrderReply.REFUSED
         val token = term.fencing.tokenFor(order.server) ?: return OrderReply.REFUSED
         // The engine may have received an order whose exchange failed.
-        val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
+        val reply = orNullOnFailure(log, order.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
         if (reply == OrderReply.FENCED) term.fencing.recordRefused(order.server, token)
         log.info(
             if (order.isLoad) "load_ordered" else "unload_ordered",
@@ -434,20 +430,6 @@
         return reply
     }
 
-    /** Returns the result of [exchange], or null if it fails, so that its outcome is recorded and [server] receives further orders. */
-    private suspend fun <T : Any> orNullOnFailure(
-        server: String,
-        exchange: suspend () -> T?,
-    ): T? =
-        try {
-            exchange()
-        } catch (e: Throwable) {
-            if (e.isFatal) throw e
-            currentCoroutineContext().ensureActive()
-            log.error("engine_exchange_failed", "server" to server, "error" to e)
-            null
-        }
-
     private fun serverLock(
         term: LeaderTerm,
         server: String,
@@ -462,6 +444,6 @@
         private const val MAX_LOADS = 3
 
         /** Bounds the wait for the queue in case its passes fail; shorter than the time that entry instances wait for the answer. */
-        private val QUESTION_TIMEOUT = 400.milliseconds
+        private val QUEUE_WAIT_TIMEOUT = 400.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
@@ -3,7 +3,6 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
-import anvilslip.kernel.isFatal
 import anvilslip.policy.DelegateFencing
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.EngineInventory
@@ -20,9 +19,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.withTimeoutOrNull
@@ -79,7 +76,7 @@
     /** Loads the adapter that [ask] names, or answers why it cannot be used; see [DelegateLoadReply]. */
     public suspend fun load(ask: DelegateLoad): DelegateLoadReply {
         // Runs in the scope of the service, since an order that was sent must be followed even if the caller gives up.
-        val work = scope.async { orNullOnFailure(ask.server) { answer(ask) } ?: UNAVAILABLE }
+        val work = scope.async { orNullOnFailure(log, ask.server) { answer(ask) } ?: UNAVAILABLE }
         return withTimeoutOrNull(ANSWER_TIMEOUT) { work.await() } ?: DelegateLoadReply(false, ANSWER_TIMEOUT.inWholeMilliseconds)
     }
 
@@ -87,8 +84,8 @@
         reachability.onLeaderSilent()
         reachability.awaitDecision(DECISION_TIMEOUT)
         val target = target(ask) ?: return if (reachability.isDeciding) UNDECIDED else UNAVAILABLE
-        val inventory = survey(target) ?: return UNAVAILABLE
-        answerFrom(inventory, target, ask)?.let { return it }
+        val inventory = queryInventory(target) ?: return UNAVAILABLE
+        replyFromInventory(inventory, target, ask)?.let { return it }
         if (!transit.tryLock()) return DelegateLoadReply(false, remainingTransit())
         var isLoading = false
         try {
@@ -105,8 +102,8 @@
     private suspend fun orderLoad(ask: DelegateLoad): DelegateLoadReply {
         repeat(MAX_ATTEMPTS) {
             val target = target(ask) ?: return UNAVAILABLE
-            val inventory = survey(target) ?: return UNAVAILABLE
-            answerFrom(inventory, target, ask)?.let { return it }
+            val inventory = queryInventory(target) ?: return UNAVAILABLE
+            replyFromInventory(inventory, target, ask)?.let { return it }
             when (sendOrder(ask, inventory.orders)) {
                 OrderReply.TAKEN -> return loading()
                 OrderReply.HOLDS -> return LOADED
@@ -133,10 +130,11 @@
         return Target(report, engine.adapterSlots, term, listOfNotNull(named, ask.version).maxOrNull())
     }
 
-    private suspend fun survey(target: Target): EngineInventory? = engineClient.queryInventory(target.report.id, target.report.address)
+    private suspend fun queryInventory(target: Target): EngineInventory? =
+        engineClient.queryInventory(target.report.id, target.report.address)
 
     /** The answer that follows from the state of the engine alone; null if a load is to be ordered. */
-    private fun answerFrom(
+    private fun replyFromInventory(
         inventory: EngineInventory,
         target: Target,
         ask: DelegateLoad,
@@ -157,11 +155,11 @@
         ask: DelegateLoad,
         expectedOrders: Long,
     ): OrderReply {
-        // The survey takes a round trip, in which a majority may have answered or a later term may have become known.
+        // The query of the inventory takes a round trip, in which a majority may have answered or a later term may have become known.
         val target = target(ask) ?: return OrderReply.REFUSED
         val token = fencing?.tokenFor(ask.server, target.term) ?: return OrderReply.REFUSED
         val order = EngineOrder(ask.server, target.report.address, true, ask.model, ask.adapter, target.version, expectedOrders)
-        val reply = orNullOnFailure(ask.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
+        val reply = orNullOnFailure(log, ask.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
         if (reply == OrderReply.FENCED) fencing.recordRefused(ask.server, target.term, token)
         log.info(
             "delegate_load_ordered",
@@ -188,7 +186,7 @@
             try {
                 delay(loadTime / 2)
                 while (clock.elapsed() - startedAt < MAX_LOAD_TIME) {
-                    val inventory = orNullOnFailure(engine.id) { engineClient.queryInventory(engine.id, engine.address) }
+                    val inventory = orNullOnFailure(log, engine.id) { engineClient.queryInventory(engine.id, engine.address) }
                     if (inventory != null && ask.adapter !in inventory.pending[ask.model].orEmpty()) {
                         recordLoadTime(inventory, ask, clock.elapsed() - startedAt)
                         break
@@ -215,19 +213,6 @@
 
     private fun remainingTransit(): Long = (transitEndsAt - clock.elapsed()).coerceAtLeast(LOAD_POLL).inWholeMilliseconds
 
-    private suspend fun <T : Any> orNullOnFailure(
-        server: String,
-        exchange: suspend () -> T?,
-    ): T? =
-        try {
-            exchange()
-        } catch (e: Throwable) {
-            if (e.isFatal) throw e
-            currentCoroutineContext().ensureActive()
-            log.error("engine_exchange_failed", "server" to server, "error" to e)
-            null
-        }
-
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "load-delegate"
--- a/gateway/src/main/kotlin/anvilslip/gateway/PeerZones.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/PeerZones.kt
@@ -1,11 +1,10 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.LruMap
+
 /** Availability zones of the other instances, as far as they have been reported. Thread-safe. */
 public class PeerZones {
-    private val zones =
-        object : LinkedHashMap<String, String>(INITIAL_SIZE, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, String>): Boolean = size > MAX_PEERS
-        }
+    private val zones = LruMap<String, String>(MAX_PEERS)
 
     /** Returns the zone of the instance on [host], or null if it is not known. */
     @Synchronized
@@ -21,10 +20,7 @@
     }
 
     private companion object {
-        const val INITIAL_SIZE = 64
-        const val LOAD_FACTOR = 0.75f
-
-        /** Several times the instances of the largest deployment; hosts of machines that were replaced are dropped beyond that. */
+        /** Bounds memory; the least recently used entries are evicted. */
         const val MAX_PEERS = 1024
     }
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ColdServersTrialSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ColdServersTrialSpec.kt
@@ -150,7 +150,7 @@
     }
 
     private fun endEvacuation(instance: Instance) {
-        instance.view.coldServers.coolDown(EVACUATED, instance.localNow())
+        instance.view.coldServers.markZoneCold(EVACUATED, instance.localNow())
         instance.knowsEvacuation = false
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -1,10 +1,11 @@
 package anvilslip.policy
 
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Decides when the leader answers the question of an entry instance for a server: at once, or after the request has waited until
+ * Decides when the leader answers the admission call of an entry instance: at once, or after the request has waited until
  * it can start. Deterministic: uses no threads and no clock of its own.
  *
  * Requests of services with many engines wait in an [AdmissionQueue] until their deadline. With few engines, a request waits only for a
@@ -14,7 +15,7 @@
     private val dispatcher: Dispatcher,
     private val options: AdmissionOptions = AdmissionOptions(),
 ) {
-    /** What the leader answers to the pending question about the request [key], which waited for [waited]. */
+    /** What the leader answers to the pending call about the request [key], which waited for [waited]. */
     public data class Answer(
         val key: RequestKey,
         val admission: Admission,
@@ -85,22 +86,12 @@
     ): DispatchDecision.Refuse? {
         val limitWait = dispatcher.limitWait(request, queue.chargeOf(request.workspace), now)
         val maxLimitWait = maxOf(request.targetMillis.milliseconds, request.remainingMillis.milliseconds * options.limitWaitShare)
-        return when {
-            limitWait > maxLimitWait -> {
-                DispatchDecision.Refuse(
-                    DispatchRefusal.OVER_LIMIT,
-                    (limitWait - maxLimitWait / 2).inWholeMilliseconds,
-                )
-            }
-
-            !canStartBeforeDeadline(queue, request, askedAt, now) -> {
-                DispatchDecision.Refuse(DispatchRefusal.BUSY, 0)
-            }
-
-            else -> {
-                null
-            }
+        if (limitWait > maxLimitWait) {
+            val retryMillis = (limitWait - maxLimitWait / 2).inWholeMilliseconds
+            return DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, retryMillis)
         }
+        val canStart = canStartBeforeDeadline(queue, request, askedAt, now)
+        return if (canStart) null else DispatchDecision.Refuse(DispatchRefusal.BUSY, 0)
     }
 
     /** Removes the request [key] if it waits, because its entry instance no longer asks for it. */
@@ -153,7 +144,7 @@
         askedAt: Duration,
         now: Duration,
     ): Admission? {
-        val work = request.promptTokens + dispatcher.expectedOutput(request) * options.decodeCost
+        val work = request.promptTokens + dispatcher.expectedOutput(request) * options.promptTokensPerOutputToken
         val waiting = queue.add(request, askedAt, work, dispatcher.prefillTime(request), now)
         if (dispatcher.isQueued(request.service)) {
             queue.block(waiting, now + queue.pauseAfterFailure(waiting))
@@ -163,7 +154,7 @@
         val excess = queue.removeExcess() ?: return null
         val refusal = refused(queue, excess.requestAt(now), DispatchDecision.Refuse(DispatchRefusal.BUSY, 0))
         if (excess === waiting) return refusal
-        if (excess.isAttended) answer(excess, refusal, now)
+        if (excess.hasPendingCall) answer(excess, refusal, now)
         return null
     }
 
@@ -272,8 +263,7 @@
         (queue.workAhead(request.priority, request.workspace) / dispatcher.capacity(request.service).coerceAtLeast(1.0)).milliseconds
 
     /**
-     * The refusal of [request]. Clients that are refused together get retry delays that differ by up to a quarter, so that they do not
-     * all return at the same time, and never more than a third of the time until the deadline.
+     * The refusal of [request]. Retry delays have a jitter of 25 % either way and are at most a third of the time until the deadline.
      */
     private fun refused(
         queue: AdmissionQueue,
@@ -282,7 +272,7 @@
     ): Admission {
         if (!dispatcher.isQueued(request.service)) return Admission.Decided(refusal)
         val wait = expectedWait(queue, request)
-        val retry = maxOf(wait, refusal.retryMillis.milliseconds, MIN_RETRY) * spread(request)
+        val retry = maxOf(wait, refusal.retryMillis.milliseconds, MIN_RETRY) * jitter(request)
         val limit = request.remainingMillis.milliseconds / MAX_RETRY_DIVISOR
         val retryMillis = minOf(retry, limit).inWholeMilliseconds.coerceAtLeast(1)
         return Admission.Decided(
@@ -290,11 +280,9 @@
         )
     }
 
-    /** Between 0.75 and 1.25, pseudo-random but always the same for the same request. */
-    private fun spread(request: DispatchRequest): Double {
-        val hash = (request.entry.hashCode() * HASH_FACTOR + request.number) * HASH_FACTOR
-        return MIN_SPREAD + (1 - MIN_SPREAD) * 2 * ((hash ushr HASH_SHIFT) % SPREAD_STEPS) / SPREAD_STEPS
-    }
+    /** Factor of the retry delay; always the same for the same request. */
+    private fun jitter(request: DispatchRequest): Double =
+        Random(31L * request.entry.hashCode() + request.number).nextDouble(MIN_JITTER, MAX_JITTER)
 
     private fun answer(
         waiting: WaitingRequest,
@@ -315,10 +303,8 @@
         /** Requests tried out of order in one pass, of which the first may be one that cannot be placed. */
         const val AGED_TRIES_PER_PASS = 2
         const val MAX_RETRY_DIVISOR = 3
-        const val MIN_SPREAD = 0.75
-        const val SPREAD_STEPS = 1_000
-        const val HASH_FACTOR = -7046029254386353131L
-        const val HASH_SHIFT = 33
+        const val MIN_JITTER = 0.75
+        const val MAX_JITTER = 1.25
         val MIN_RETRY = 50.milliseconds
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
@@ -32,6 +32,6 @@
     val limitWaitShare: Double = 0.25,
     /** Expected wait up to which a late request is started, as a share of its target. */
     val lateWaitShare: Double = 0.25,
-    /** Prompt tokens that cost an engine as much time as one output token: 0.5 ms in a batch of 20 at 20 prompt tokens per ms. */
-    val decodeCost: Int = 10,
+    /** Prompt tokens that take an engine as long as one output token in a shared batch. */
+    val promptTokensPerOutputToken: Int = 10,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
@@ -7,7 +7,8 @@
 
 /**
  * Requests of one service that wait until they can start, in the order in which they are to be tried. Deterministic: uses no threads
- * and no clock of its own. All operations take logarithmic time in the number of waiting requests.
+ * and no clock of its own. Operations take logarithmic time in the number of waiting requests, except [removeExcess], which is linear
+ * in the number of workspaces.
  *
  * More urgent priorities come first. Within a priority, requests that can still meet their target come before the others, and
  * workspaces are served by weighted fair queueing over tokens. One in every [AdmissionOptions.agedInterval] placements goes to the
@@ -121,8 +122,8 @@
         }
         waiting.answerAt = askedAt + options.answerAfter
         byAnswer += waiting
-        if (waiting.isAttended) return
-        waiting.isAttended = true
+        if (waiting.hasPendingCall) return
+        waiting.hasPendingCall = true
         enable(waiting)
     }
 
@@ -133,7 +134,7 @@
     ) {
         disable(waiting)
         byAnswer -= waiting
-        waiting.isAttended = false
+        waiting.hasPendingCall = false
         waiting.heldUntil = now + options.holdPlace
         byHold += waiting
     }
--- a/policy/src/main/kotlin/anvilslip/policy/ColdServers.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ColdServers.kt
@@ -4,7 +4,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Knows until when servers are cold: after they start, as they report, and after an evacuation of their zone ends. The later end
+ * Tracks until when servers are cold: after they start, as they report, and after an evacuation of their zone ends. The later end
  * counts, and no report of the same process shortens it. Thread-safe.
  */
 public class ColdServers {
@@ -32,7 +32,7 @@
 
     /** Makes all servers of [zone] cold for the cold start of their service, because its evacuation has ended. */
     @Synchronized
-    public fun coolDown(
+    public fun markZoneCold(
         zone: String,
         now: Duration,
     ) {
--- a/policy/src/main/kotlin/anvilslip/policy/ColdStartLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ColdStartLimiter.kt
@@ -7,9 +7,9 @@
 /**
  * Sliding-window limit on the requests that the leader sends to a cold server, by the time at which each request is to be sent.
  *
- * Requests arrive later than planned by less than a second, so those of any second were planned within two. Half of the bound for each
- * second of the plan therefore keeps to the bound. A leader with a predecessor starts with used-up windows: its first request is planned
- * more than a second after the last one of its predecessor, so the plans of both together keep to the limit too.
+ * A request arrives up to 1 s after its planned time, so the arrivals of any second come from a planned interval of 2 s. The limit per
+ * planned second is therefore at most half of the bound. After a change of leader the first request to a cold server is planned more
+ * than 1 s after the last one that the predecessor planned for it.
  *
  * @param hasPredecessor true if another leader may have sent requests just before [startedAt]
  */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -21,9 +21,6 @@
     /** Availability zones to whose servers nothing new is sent. */
     var evacuatedZones: Set<String> = emptySet()
 
-    /** Time for which the progress of prompts is estimated. */
-    var now = Duration.ZERO
-
     val servers: Collection<DispatchServer> get() = serversById.values
 
     operator fun get(id: String): DispatchServer? = serversById[id]
@@ -142,7 +139,8 @@
     fun answerCost(
         server: DispatchServer,
         request: DispatchRequest,
-    ): Duration = cost(server, request) + server.promptTime(request.promptTokens)
+        now: Duration,
+    ): Duration = cost(server, request, now) + server.promptTime(request.promptTokens)
 
     /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
     fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
@@ -151,6 +149,7 @@
     fun cost(
         server: DispatchServer,
         request: DispatchRequest,
+        now: Duration,
     ): Duration {
         val zone = if (server.report.zone == request.zone) Duration.ZERO else options.zonePenalty
         if (request.model != null) return server.expectedWait(now, waitPriority(request)) + zone
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -42,8 +42,9 @@
     val waitShare: Double = 1.05,
     /** Share of a request's target that it may wait for the token bucket of its workspace to refill. */
     val limitWaitShare: Double = 0.5,
-    /** Factor on what a cold server tolerates, and requests beyond it, that all instances together may send to it in any second. */
+    /** Factor applied to the rate limit of a cold server to get the hard bound for all instances together. */
     val coldOvershoot: Double = 1.0,
+    /** Requests per second added to that bound. */
     val coldSlack: Double = 0.0,
     /** How long an unreachable server is avoided. */
     val unreachablePause: Duration = 1000.milliseconds,
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -179,7 +179,6 @@
         now: Duration,
         maxWait: Duration? = null,
     ): Admission {
-        fleet.now = now
         val wait = limits.waitTime(request.workspace, request.charge, now)
         // Where late requests may wait, one whose target has passed is not over its limit for that.
         val target = if (isQueued(request.service)) maxOf(request.targetMillis, 0) else request.targetMillis
@@ -221,7 +220,7 @@
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
         val adapter = request.adapter
         if (adapter != null) return placeAdapter(request, model, adapter, withMemory, limitWait, maxWait, now)
-        return send(request, withMemory.minBy { fleet.answerCost(it, request) }, limitWait, null, maxWait, now)
+        return send(request, withMemory.minBy { fleet.answerCost(it, request, now) }, limitWait, null, maxWait, now)
     }
 
     private fun refuseWithoutServer(request: DispatchRequest): Admission {
@@ -236,7 +235,7 @@
         limitWait: Duration,
         now: Duration,
     ): Admission {
-        val best = servers.minBy { fleet.cost(it, request) }
+        val best = servers.minBy { fleet.cost(it, request, now) }
         val wait = fleet.queueTime(best)
         if (wait > request.targetMillis.milliseconds * options.waitShare) return refuse(DispatchRefusal.BUSY, wait / 2, servers.size, wait)
         return send(request, best, limitWait, null, null, now)
@@ -253,26 +252,20 @@
     ): Admission {
         val version = fleet.currentVersion(model, adapter)
 
-        fun holderCost(server: DispatchServer) = fleet.cost(server, request) + planner.remainingLoad(server, adapter, now)
+        fun holderCost(server: DispatchServer) = fleet.cost(server, request, now) + planner.remainingLoad(server, adapter, now)
         val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
         val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
         val loader = if (holder != null && isSoon(holderCost(holder), request)) null else planner.pickServer(request, adapter, servers, now)
-        val loadCost = loader?.let { fleet.cost(it, request) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
+        val loadCost =
+            loader?.let { fleet.cost(it, request, now) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
             val slot = holder.adapterSlots.getValue(adapter)
             if (slot.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
             return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, maxWait, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (isTooLate(
-                loadCost,
-                loader,
-                request,
-                maxWait,
-            )
-        ) {
-            return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
-        }
+        val isLoadTooLate = isTooLate(loadCost, loader, request, maxWait)
+        if (isLoadTooLate) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
@@ -291,12 +284,9 @@
         now: Duration,
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
-        val wait = fleet.cost(server, request) + holdTime
-        if (request.model != null &&
-            isTooLate(wait, server, request, maxWait)
-        ) {
-            return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
-        }
+        val wait = fleet.cost(server, request, now) + holdTime
+        val isAnswerTooLate = request.model != null && isTooLate(wait, server, request, maxWait)
+        if (isAnswerTooLate) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
         val sendAt = now + holdTime
         if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
         fleet.recordSend(server, sendAt, now)
--- a/policy/src/main/kotlin/anvilslip/policy/EntryWeights.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EntryWeights.kt
@@ -20,6 +20,6 @@
         return rounds.take(maxLength)
     }
 
-    /** Keeps an instance with an unusual statement from taking all clients. */
+    /** Limits the share of an instance with a misconfigured capacity. */
     private const val MAX_COPIES = 8
 }
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -61,10 +61,8 @@
         val warm = eligible.filter { it.isWarm(adapter) }
         val cold = eligible.takeIf { loadingCount(now) < concurrentLoads(candidates.size) }.orEmpty()
         return (warm + cold).minByOrNull {
-            fleet.answerCost(
-                it,
-                request,
-            ) + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now)
+            val answerCost = fleet.answerCost(it, request, now)
+            answerCost + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now)
         }
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/LocalLoads.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LocalLoads.kt
@@ -1,5 +1,6 @@
 package anvilslip.policy
 
+import anvilslip.kernel.LruMap
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -45,10 +46,7 @@
     private val sent = HashMap<Long, Sent>()
     private val loads = HashMap<String, Load>()
     private val serviceSpeeds = HashMap<String, Speed>()
-    private val serverSpeeds =
-        object : LinkedHashMap<String, Speed>(INITIAL_SIZE, LOAD_FACTOR, true) {
-            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, Speed>): Boolean = size > MAX_SERVERS
-        }
+    private val serverSpeeds = LruMap<String, Speed>(MAX_SERVERS)
 
     /** Records that request [number] with [promptTokens] was sent to [server]. */
     public fun recordSent(
@@ -103,10 +101,7 @@
         return (work + (load?.pendingWork ?: 0.0) + answering) / speedOf(server, service)
     }
 
-    /**
-     * The speed of the service counts like [PRIOR_MILLIS] of answers of the server. The result is limited, since a server that fails at
-     * once looks fast.
-     */
+    /** The speed of the service counts like [PRIOR_MILLIS] of answers of the server. The result is limited by [MAX_SPEED_RATIO]. */
     private fun speedOf(
         server: String,
         service: String,
@@ -121,10 +116,7 @@
     private fun workOf(promptTokens: Int): Double = promptTokens.coerceAtLeast(1).toDouble()
 
     private companion object {
-        const val INITIAL_SIZE = 64
-        const val LOAD_FACTOR = 0.75f
-
-        /** Several times the servers of the largest deployment. */
+        /** Bounds memory; the least recently used entries are evicted. */
         const val MAX_SERVERS = 512
 
         /** Work per millisecond before the first answer; the same for all servers, so it does not affect their order. */
@@ -138,7 +130,10 @@
         const val PRIOR_MILLIS = 100.0
         const val MIN_ANSWER_MILLIS = 1.0
 
-        /** The engines of one service differ in speed by a factor of up to 2.4. */
+        /**
+         * Upper bound on the estimated speed of a server relative to the mean of its service; a server that fails immediately looks
+         * fast.
+         */
         const val MAX_SPEED_RATIO = 2.5
 
         /** A request in progress slows the start of the next by less. */
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -67,14 +67,11 @@
         request: DispatchRequest,
         server: DispatchServer,
         now: Duration,
-    ): Double =
-        if (server.report.models ==
-            null
-        ) {
-            server.plainWork
-        } else {
-            server.remainingPromptTokens(now, fleet.waitPriority(request)) + request.promptTokens
-        }
+    ): Double {
+        if (server.report.models == null) return server.plainWork
+        val tokensAhead = server.remainingPromptTokens(now, fleet.waitPriority(request))
+        return tokensAhead + request.promptTokens
+    }
 
     /** Restores the requests that [entry] reports as running. Requests that are known already are skipped. */
     fun restoreRequests(
--- a/policy/src/main/kotlin/anvilslip/policy/WaitingRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WaitingRequest.kt
@@ -28,7 +28,7 @@
     val latestUsefulStartAt = deadlineAt - prefillTime
 
     /** True while the entry instance waits for an answer. */
-    var isAttended = true
+    var hasPendingCall = true
     var answerAt = Duration.ZERO
     var heldUntil = Duration.ZERO
     var nextTryAt = Duration.ZERO
--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
@@ -22,8 +22,8 @@
     val lateByAge = TreeSet(compareBy<WaitingRequest> { it.sequence })
 
     /**
-     * The member to refuse if the queue is full. With a full queue, late requests are served by the turns of the longest waiting
-     * ones, so the youngest would be served last. The one with the most work would always be among the largest prompts.
+     * The member to evict from a full queue: the youngest late request, or the last in service order. Evicting by most work would
+     * always hit the largest prompts.
      */
     val last: WaitingRequest get() = lateByAge.lastOrNull() ?: members.last()
 
--- a/policy/src/test/kotlin/anvilslip/policy/ColdServersSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/ColdServersSpec.kt
@@ -49,7 +49,7 @@
         describe("a server whose zone returns from an evacuation") {
             val servers = ColdServers()
             servers.observe(report(0), 1.seconds)
-            servers.coolDown("z1", 10.seconds)
+            servers.markZoneCold("z1", 10.seconds)
 
             it("is cold for the cold start of its service, whatever it reported before") {
                 servers.isColdAt(12.9.seconds) shouldBe true
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -47,8 +47,9 @@
     val retryReserve: Double = 50.0,
     /** Minimum time between the orders of two successive leaders. */
     val orderPause: Duration = 3000.milliseconds,
-    /** Factor on what a cold server tolerates, and requests beyond it, that all instances together may send to it in any second. */
+    /** Factor applied to the rate limit of a cold server to get the hard bound for all instances together. */
     val coldOvershoot: Double = 1.0,
+    /** Requests per second added to that bound. */
     val coldSlack: Double = 0.0,
     /** True if backend servers reject orders with an outdated fencing token. */
     val fencingChecked: Boolean = false,
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
@@ -47,7 +47,7 @@
 
         /** Loads of a deployment of [engines] engines with [TrialKind.BY_PRIORITY]. */
         public fun ofManyEngines(engines: Int): List<DispatchLoad> {
-            val rate = engines * REQUESTS_PER_ENGINE
+            val rate = engines * REQUESTS_PER_SECOND_PER_ENGINE
             val usual = DispatchLoad("usual", rate, surgeFrom = 8.seconds, surgeTo = 20.seconds, duration = 26.seconds)
             return listOf(
                 usual,
@@ -57,7 +57,7 @@
             )
         }
 
-        /** The usual load occupies most of the engines, so that each disturbance is an overload. */
-        private const val REQUESTS_PER_ENGINE = 400 / 48.0
+        /** Mean arrival rate per engine. It occupies most of the engines, so that each disturbance is an overload. */
+        private const val REQUESTS_PER_SECOND_PER_ENGINE = 25 / 3.0
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -44,10 +44,10 @@
                 adapters = 1_000,
                 skew = 1.4,
                 kinds = TrialKind.BY_PRIORITY,
-                fullSpeedLoads = (engines * LOADS_PER_ENGINE).toInt(),
+                fullSpeedLoads = (engines * FULL_SPEED_LOADS_PER_ENGINE).toInt(),
             )
 
-        /** The store carries 64 loads at full speed on 98 engines. */
-        private const val LOADS_PER_ENGINE = 0.65
+        /** Concurrent loads per engine that the weight store carries at full speed. */
+        private const val FULL_SPEED_LOADS_PER_ENGINE = 0.65
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -45,16 +45,9 @@
     /** Submits what arrives of [kind] beyond its usual share. */
     private fun submitSurgeOf(kind: Int) {
         val extra = (load.surgeKindFactor - 1) * options.kinds[kind].share * load.burstSize
-        repeat(
-            extra.toInt() +
-                if (random.nextDouble() <
-                    extra % 1
-                ) {
-                    1
-                } else {
-                    0
-                },
-        ) { submit(sampleIndex(options.workspaces), isSurge = true, kind) }
+        val roundedUp = if (random.nextDouble() < extra % 1) 1 else 0
+        val count = extra.toInt() + roundedUp
+        repeat(count) { submit(sampleIndex(options.workspaces), isSurge = true, kind) }
     }
 
     private fun sampleExponential(rate: Double): Duration = (-ln(1 - random.nextDouble()) / rate).seconds
@@ -95,20 +88,17 @@
                 priority = kind.priority,
                 target = kind.target ?: options.targetLatency,
                 lateShare = kind.lateShare,
-                lengthHint =
-                    if (kind.hasLengthHint) {
-                        maxOf(
-                            1,
-                            (output * exp(HINT_SPREAD * (random.nextDouble() * 2 - 1))).toInt(),
-                        )
-                    } else {
-                        null
-                    },
+                lengthHint = if (kind.hasLengthHint) sampleLengthHint(output) else null,
             )
         requests += request
         send(request)
     }
 
+    private fun sampleLengthHint(outputTokens: Int): Int {
+        val exponent = HINT_SPREAD * (random.nextDouble() * 2 - 1)
+        return (outputTokens * exp(exponent)).toInt().coerceAtLeast(1)
+    }
+
     private fun sampleAdapter(uniform: Boolean): String? {
         if (random.nextDouble() >= ADAPTER_SHARE) return null
         if (uniform) return "a${random.nextInt(options.adapters)}"
--- a/standin/src/main/kotlin/anvilslip/standin/TrialKind.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialKind.kt
@@ -27,37 +27,60 @@
         /** Kinds of one priority. */
         public val DEFAULT: List<TrialKind> =
             listOf(
-                TrialKind(0.70, variants = 69, sharedTokens = 568, ownTokens = 1_800, outputTokens = 22, worth = 2.3, timeout = 5.seconds),
-                TrialKind(0.10, variants = 2, sharedTokens = 568, ownTokens = 1_800, outputTokens = 22, worth = 2.3, timeout = 8.seconds),
-                TrialKind(
-                    0.20,
-                    variants = 13,
-                    sharedTokens = 350,
-                    ownTokens = 1_110,
-                    outputTokens = 172,
-                    worth = 3.0,
-                    timeout = 15.seconds,
-                ),
+                longPrompt(share = 0.70, variants = 69, worth = 2.3, timeout = 5.seconds),
+                longPrompt(share = 0.10, variants = 2, worth = 2.3, timeout = 8.seconds),
+                longAnswer(share = 0.20, variants = 13, worth = 3.0, timeout = 15.seconds),
             )
 
-        /** Kinds of three priorities, in the proportion, with the values, targets and deadlines of a deployment of 98 engines. */
+        /** Kinds of three priorities, the most urgent of which has the most valuable answers and the shortest target. */
         public val BY_PRIORITY: List<TrialKind> =
             listOf(
-                TrialKind(0.66, 69, 568, 1_800, 22, 1.6, 5.seconds, priority = 1, 1.seconds, lateShare = 0.46 / 1.6, hasLengthHint = true),
-                TrialKind(
-                    0.14,
-                    2,
-                    568,
-                    1_800,
-                    22,
-                    0.79,
-                    20.seconds,
-                    priority = 2,
-                    2.seconds,
-                    lateShare = 0.35 / 0.79,
-                    hasLengthHint = true,
-                ),
-                TrialKind(0.20, 13, 350, 1_110, 172, 3.8, 15.seconds, 0, 800.milliseconds, lateShare = 0.46 / 3.8, hasLengthHint = true),
+                longPrompt(share = 0.66, variants = 69, worth = 1.6, timeout = 5.seconds)
+                    .copy(priority = 1, target = 1.seconds, lateShare = 0.46 / 1.6, hasLengthHint = true),
+                longPrompt(share = 0.14, variants = 2, worth = 0.79, timeout = 20.seconds)
+                    .copy(priority = 2, target = 2.seconds, lateShare = 0.35 / 0.79, hasLengthHint = true),
+                longAnswer(share = 0.20, variants = 13, worth = 3.8, timeout = 15.seconds)
+                    .copy(priority = 0, target = 800.milliseconds, lateShare = 0.46 / 3.8, hasLengthHint = true),
             )
+
+        /** Mean sizes of a kind with long prompts and short answers, in tokens. */
+        private const val LONG_PROMPT_SHARED_TOKENS = 568
+        private const val LONG_PROMPT_OWN_TOKENS = 1_800
+        private const val LONG_PROMPT_OUTPUT_TOKENS = 22
+
+        /** Mean sizes of a kind with shorter prompts and long answers, in tokens. */
+        private const val LONG_ANSWER_SHARED_TOKENS = 350
+        private const val LONG_ANSWER_OWN_TOKENS = 1_110
+        private const val LONG_ANSWER_OUTPUT_TOKENS = 172
+
+        private fun longPrompt(
+            share: Double,
+            variants: Int,
+            worth: Double,
+            timeout: Duration,
+        ) = TrialKind(
+            share,
+            variants,
+            LONG_PROMPT_SHARED_TOKENS,
+            LONG_PROMPT_OWN_TOKENS,
+            LONG_PROMPT_OUTPUT_TOKENS,
+            worth,
+            timeout,
+        )
+
+        private fun longAnswer(
+            share: Double,
+            variants: Int,
+            worth: Double,
+            timeout: Duration,
+        ) = TrialKind(
+            share,
+            variants,
+            LONG_ANSWER_SHARED_TOKENS,
+            LONG_ANSWER_OWN_TOKENS,
+            LONG_ANSWER_OUTPUT_TOKENS,
+            worth,
+            timeout,
+        )
     }
 }
--- a/wire/src/main/kotlin/anvilslip/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/FrameCodec.kt
@@ -5,25 +5,18 @@
 import arrow.core.right
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.cbor.Cbor
 
 /** Encodes frames to CBOR and decodes them. */
 @OptIn(ExperimentalSerializationApi::class)
 internal object FrameCodec {
     /** Maximum accepted size of a frame in bytes. */
     const val MAX_FRAME_BYTES = 64 * 1024 * 1024
-    private val cbor =
-        Cbor {
-            ignoreUnknownKeys = true
-            encodeDefaults = false
-            preferCborLabelsOverNames = true
-        }
 
-    fun encode(frame: Frame): ByteArray = cbor.encodeToByteArray(Frame.serializer(), frame)
+    fun encode(frame: Frame): ByteArray = PeerFormat.cbor.encodeToByteArray(Frame.serializer(), frame)
 
     fun decode(bytes: ByteArray): Either<String, Frame> =
         try {
-            cbor.decodeFromByteArray(Frame.serializer(), bytes).right()
+            PeerFormat.cbor.decodeFromByteArray(Frame.serializer(), bytes).right()
         } catch (e: SerializationException) {
             (e.message ?: "malformed frame").left()
         } catch (e: IllegalArgumentException) {
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -230,11 +230,15 @@
     public data class Watch(
         /** The entry instance that asks, or null when a control instance asks. */
         @CborLabel(1) val entry: EntryInstance? = null,
+        /** Version of the document that the sender has; -1 for none. */
         @CborLabel(2) val documentVersion: Long = -1,
+        /** Revision of the named adapter versions that the sender knows. */
         @CborLabel(3) val namedRevision: Long = -1,
         /** Incarnation of the receiver to which [fleetRevision] refers. */
         @CborLabel(4) val incarnation: String = "",
+        /** Revision of the receiver's list of backend servers that the sender knows. */
         @CborLabel(5) val fleetRevision: Long = 0,
+        /** Longest time in milliseconds for which the receiver may delay its answer. */
         @CborLabel(6) val waitMillis: Long = 0,
         /** All suspects that the sender knows, if the receiver may lack some of them. */
         @CborLabel(7) val suspects: List<SuspectReport> = emptyList(),
@@ -244,12 +248,12 @@
         @CborLabel(9) val term: Long = Long.MAX_VALUE,
         /** How a document that is newer than [documentVersion] is to be answered. */
         @CborLabel(10) val documentDelivery: DocumentDelivery = DocumentDelivery.PLAIN,
+        /** Revision of the evacuations that the sender knows. */
+        @CborLabel(11) val evacuationRevision: Long = -1,
         /** Latest version of the document that was announced to the sender; it need not be announced again. */
         @CborLabel(12) val announcedVersion: Long = -1,
         /** Revision of the receiver's list of control instances that the sender knows; refers to [incarnation]. */
         @CborLabel(13) val controlRevision: Long = 0,
-        /** Revision of the evacuations that the sender knows. */
-        @CborLabel(11) val evacuationRevision: Long = -1,
         /** Hash of the entry hosts that the receiver has sent; null if the sender does not need them. */
         @CborLabel(30) val entryHostsHash: Int? = null,
     ) : PeerMessage
@@ -258,35 +262,46 @@
     @Serializable
     @SerialName("watch_reply")
     public data class WatchReply(
+        /** Incarnation of the sender, to which its revisions refer. */
         @CborLabel(1) val incarnation: String,
+        /** Revision of the sender's list of backend servers. */
         @CborLabel(2) val fleetRevision: Long,
+        /** Reports of the backend servers that have changed. */
         @CborLabel(3) val servers: List<ServerReport> = emptyList(),
+        /** The document for a receiver that asked for [DocumentDelivery.PLAIN] and has an older one. */
         @CborLabel(4) val document: ConfigurationDocument? = null,
+        /** Named adapter versions; null if the receiver knows [namedRevision]. */
         @CborLabel(5) val namedVersions: Map<AdapterName, Long>? = null,
+        /** Revision of the named adapter versions that the sender knows. */
         @CborLabel(6) val namedRevision: Long = -1,
         /** Hosts of the control instances known to the sender; empty if the receiver knows [controlRevision]. */
         @CborLabel(7) @SerialName("controls") val controlHosts: Set<String> = emptySet(),
+        /** The leader that the sender knows; null for none. */
         @CborLabel(8) val leader: String? = null,
+        /** Latest term that the sender knows. */
         @CborLabel(9) val term: Long = 0,
         /** Number of entry instances that are ready. */
         @CborLabel(10) @SerialName("entries") val entryCount: Int = 1,
-        /** Backend servers whose latest report is unchanged but for its sequence number, with that number. */
-        @CborLabel(14) val refreshed: Map<String, ReportVersion> = emptyMap(),
         /** Suspects that have changed. */
         @CborLabel(12) val suspects: List<SuspectReport> = emptyList(),
+        /** Revision of the sender's suspects. */
         @CborLabel(13) val suspectRevision: Long = 0,
+        /** Backend servers whose latest report is unchanged but for its sequence number, with that number. */
+        @CborLabel(14) val refreshed: Map<String, ReportVersion> = emptyMap(),
+        /** Hosts of the entry instances in use; null if they have not changed or are not asked for. */
+        @CborLabel(15) val entryHosts: List<String>? = null,
+        /** Availability zones under evacuation; null if the receiver knows [evacuationRevision]. */
+        @CborLabel(17) val evacuations: Set<String>? = null,
+        /** Revision of the evacuations that the sender knows. */
+        @CborLabel(18) val evacuationRevision: Long = -1,
         /** The document for a receiver that asked for [DocumentDelivery.COMPRESSED]. */
         @CborLabel(19) val compressedDocument: CompressedDocument? = null,
         /** Version of the sender's document if it was not announced to the receiver before; otherwise -1. */
         @CborLabel(20) val documentVersion: Long = -1,
         /** Availability zone of the sender, in the first answer of its incarnation. */
         @CborLabel(21) val zone: String? = null,
+        /** Revision of the sender's list of control instances. */
         @CborLabel(22) val controlRevision: Long = 0,
-        /** Availability zones under evacuation. */
-        @CborLabel(17) val evacuations: Set<String>? = null,
-        @CborLabel(18) val evacuationRevision: Long = -1,
-        /** Hosts of the entry instances in use; null if they have not changed or are not asked for. */
-        @CborLabel(15) val entryHosts: List<String>? = null,
     ) : PeerMessage {
         override val contentBytes: Int get() = compressedDocument?.sizeBytes ?: document?.text?.length ?: 0
     }
