--- a/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WorkspaceQueue.kt
@@ -9,6 +9,9 @@
     /** Tokens placed, divided by the weight of the workspace; the workspace with the lowest value is served next. */
     var virtualTime = 0.0
 
+    /** Weight of the workspace when its first member joined; a later configuration applies once no member is left. */
+    var weight = 1.0
+
     /** Work of all members. */
     var waitingWork = 0L
 
@@ -19,13 +22,13 @@
     val lateByAge = TreeSet(compareBy<WaitingRequest> { it.sequence })
 
     /**
-     * The member to refuse if the queue is full. With a full queue, late requests are served by the turns of the longest waiting
-     * ones, so the youngest would be served last. The one with the most work would always be among the largest prompts.
+     * The member to evict from a full queue: the youngest late request, or the last in service order. Evicting by most work would
+     * always hit the largest prompts.
      */
     val last: WaitingRequest get() = lateByAge.lastOrNull() ?: members.last()
 
     /** Work of all members divided by [weight], which competing workspaces get through in the same time. */
-    fun normalizedWork(weight: Double): Double = waitingWork / weight
+    val normalizedWork: Double get() = waitingWork / weight
 
     fun add(request: WaitingRequest) {
         members += request
