--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -183,7 +183,7 @@
     private suspend fun finishes(
         receivedAt: Duration,
         action: suspend () -> Unit,
-    ): Boolean = withTimeoutOrNull(QUESTION_TIMEOUT - (clock.elapsed() - receivedAt)) { action() } != null
+    ): Boolean = withTimeoutOrNull(QUEUE_WAIT_TIMEOUT - (clock.elapsed() - receivedAt)) { action() } != null
 
     /** Makes the entry instance ask again. Without an answer, it would take a leader that waits for an engine for one that is lost. */
     private fun waitReply(term: LeaderTerm) = PeerMessage.AdmitReply(term.number, DispatchDecision.Wait)
