Let a setting switch the queue for admission on

queueFromEngines, 0 by default: requests then wait for a free adapter slot alone, for 100 ms, as before.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -159,7 +159,12 @@
         val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock, settings.zone)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
-        val options = DispatchOptions(coldOvershoot = settings.coldOvershoot, coldSlack = settings.coldSlack)
+        val options =
+            DispatchOptions(
+                coldOvershoot = settings.coldOvershoot,
+                coldSlack = settings.coldSlack,
+                minQueueEngines = settings.queueFromEngines.takeIf { it > 0 } ?: Int.MAX_VALUE,
+            )
         val dispatch =
             kernel.install(
                 LeaderDispatch(
@@ -173,7 +178,7 @@
                     AdmissionMetrics(metrics),
                 ),
             )
-        kernel.install(DispatchWarmUp(clusterView, DispatchOptions()))
+        kernel.install(DispatchWarmUp(clusterView, options))
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -55,6 +55,7 @@
                 coldSlack = root.double("coldSlack", 0.0..MAX_COLD_SLACK, defaults.coldSlack),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
                 capacity = root.double("capacity", CAPACITIES, defaults.capacity),
+                queueFromEngines = root.int("queueFromEngines", 0..MAX_ENGINES, defaults.queueFromEngines)!!,
                 zones = root.names("zones"),
             )
         root.reportUnknownKeys()
@@ -85,6 +86,7 @@
         val PORTS = 1..65_535
         const val MAX_TOLERATED_LOSSES = 10
         const val MAX_RETRY_RESERVE = 1e6
+        const val MAX_ENGINES = 100_000
         val CAPACITIES = 0.001..1e6
         const val MAX_COLD_OVERSHOOT = 1e3
         const val MAX_COLD_SLACK = 1e6
