--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -2,8 +2,11 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.ColdServers
+import anvilslip.policy.ContactClock
 import anvilslip.policy.ControlInstances
 import anvilslip.policy.EntryCount
+import anvilslip.policy.EntryHosts
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ReportVersion
 import anvilslip.policy.ServerReport
@@ -25,6 +28,7 @@
     private val clock: Clock,
     seeds: Set<String>,
     heartbeat: Duration,
+    private val onEvacuationChange: (zone: String, isActive: Boolean) -> Unit = { _, _ -> },
 ) {
     /** The active configuration document, its parsed form, and the versions set for adapters. */
     public data class ActiveConfiguration(
@@ -34,6 +38,12 @@
         val versionsRevision: Long = -1,
     )
 
+    /** Availability zones under evacuation; [revision] increases with each change, and is -1 until a state is known. */
+    public data class Evacuations(
+        val zones: Set<String> = emptySet(),
+        val revision: Long = -1,
+    )
+
     /** The last known leader. */
     public data class Leader(
         val host: String?,
@@ -51,10 +61,13 @@
 
     private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
+    private val contact = ContactClock()
     private val entries = EntryCount()
+    private val reportedEntries = EntryHosts()
     private val changes = MutableStateFlow(0L)
     private val activeRef = AtomicReference(ActiveConfiguration())
     private val leaderRef = AtomicReference(Leader(null, 0))
+    private val evacuationsRef = AtomicReference(Evacuations())
     private val serverTimeout = heartbeat * MISSED_HEARTBEATS + HEARTBEAT_GRACE
 
     private val controls = ControlInstances(seeds)
@@ -62,18 +75,30 @@
     @Volatile
     private var knownControlHosts = controls.hosts
 
+    /** Which servers are cold. */
+    public val coldServers: ColdServers = ColdServers()
+
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
 
+    /** Availability zones of the other instances. */
+    public val zones: PeerZones = PeerZones()
+
     /** Number of entry instances among which the limits of workspaces are divided; null until a control instance has reported it. */
     public val entryCount: Int? get() = synchronized(entries) { entries.current(clock.elapsed()) }
 
+    /** Hosts of the entry instances in use, as last reported by the control instances. */
+    public val entryHosts: Set<String> get() = synchronized(reportedEntries) { reportedEntries.all }
+
     /** The configuration that this instance uses. */
     public val active: ActiveConfiguration get() = activeRef.get()
 
     /** The last known leader; its host is null until one is known. */
     public val leader: Leader get() = leaderRef.get()
 
+    /** The availability zones to whose servers nothing new is sent. */
+    public val evacuations: Evacuations get() = evacuationsRef.get()
+
     /** Hosts of the seeds and of the control instances that were reported recently. */
     public val controlHosts: Set<String> get() = knownControlHosts
 
@@ -117,6 +142,37 @@
         signalChange()
     }
 
+    /** Applies the state of the evacuations if it is newer than the known one. */
+    public fun applyEvacuations(next: Evacuations) {
+        synchronized(evacuationsRef) {
+            val previous = evacuations
+            if (next.revision <= previous.revision) return
+            evacuationsRef.set(next)
+            for (zone in next.zones - previous.zones) recordEvacuationChange(zone, isActive = true, next.revision)
+            for (zone in previous.zones - next.zones) {
+                // Its servers may have become cold without a report that has reached this instance.
+                coldServers.markZoneCold(zone, clock.elapsed())
+                recordEvacuationChange(zone, isActive = false, next.revision)
+            }
+        }
+        signalChange()
+    }
+
+    private fun recordEvacuationChange(
+        zone: String,
+        isActive: Boolean,
+        revision: Long,
+    ) {
+        log.info("evacuation_changed", "zone" to zone, "active" to isActive, "revision" to revision)
+        onEvacuationChange(zone, isActive)
+    }
+
+    /** True if [server] is in an availability zone under evacuation. */
+    public fun isEvacuated(server: ServerReport): Boolean = server.zone in evacuations.zones
+
+    /** True if backend server [id] is known to be in an availability zone under evacuation. */
+    public fun isEvacuated(id: String): Boolean = evacuations.zones.isNotEmpty() && server(id)?.let(::isEvacuated) == true
+
     /** Records that [host] leads in [term], unless a leader of a later term is known. */
     public fun observeLeader(
         host: String,
@@ -140,6 +196,22 @@
             if (current != previous) log.info("entry_count_changed", "control" to control, "count" to current, "previous" to previous)
         }
 
+    /** Records an answer of [control], which reports [hosts] as entry instances in use, or no change of them if they are null. */
+    public fun observeEntryHosts(
+        control: String,
+        hosts: List<String>?,
+    ) {
+        synchronized(fleet) { contact.recordAnswer(clock.elapsed()) }
+        synchronized(reportedEntries) {
+            val previous = reportedEntries.all
+            reportedEntries.record(control, hosts, clock.elapsed())
+            val current = reportedEntries.all
+            if (current != previous) {
+                log.info("entry_hosts_changed", "control" to control, "added" to (current - previous), "removed" to (previous - current))
+            }
+        }
+    }
+
     /** Records that a control instance reports [hosts] as control instances. */
     public fun recordControlHosts(hosts: Set<String>): Unit = updateControls { it.record(hosts, clock.elapsed()) }
 
@@ -162,7 +234,8 @@
         report: ServerReport,
         direct: Boolean,
     ): FleetTable.Change {
-        val change = synchronized(fleet) { fleet.applyReport(report, direct, clock.elapsed()) }
+        val change = synchronized(fleet) { fleet.applyReport(report, direct, fleetTime()) }
+        if (change != FleetTable.Change.NONE) coldServers.observe(report, clock.elapsed())
         publishServerChange(report, change, direct)
         return change
     }
@@ -175,14 +248,18 @@
         val change =
             synchronized(fleet) {
                 val start = startedAtMillis ?: fleet[server]?.startedAtMillis ?: clock.now().toEpochMilliseconds()
-                fleet.deregister(server, start, clock.elapsed())
+                fleet.deregister(server, start, fleetTime())
             }
         if (change == FleetTable.Change.CHANGED) log.info("server_signed_off", "server" to server)
         if (change == FleetTable.Change.CHANGED) signalChange()
     }
 
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
-    public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(clock.elapsed(), serverTimeout) }
+    public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
+
+    /** True if [server] is cold and tolerates only few requests. */
+    public fun isCold(server: ServerReport): Boolean =
+        coldServers.isCold(server, active.configuration?.services?.get(server.service), clock.elapsed())
 
     /** Returns the last report of backend server [id], or null if it is not known. */
     public fun server(id: String): ServerReport? = synchronized(fleet) { fleet[id] }
@@ -193,7 +270,7 @@
         directOnly: Boolean,
     ): FleetUpdate =
         synchronized(fleet) {
-            fleet.evictExpired(clock.elapsed())
+            fleet.evictExpired(fleetTime())
             FleetUpdate(fleet.changesSince(revision, directOnly), fleet.refreshedSince(revision), fleet.revision)
         }
 
@@ -201,12 +278,15 @@
     public fun refreshServer(
         id: String,
         version: ReportVersion,
-    ): Unit = synchronized(fleet) { fleet.refresh(id, version, clock.elapsed()) }
+    ): Unit = synchronized(fleet) { fleet.refresh(id, version, fleetTime()) }
 
     /** True if a server that reports to this instance has changed after [revision]. */
     public fun hasDirectFleetChangeSince(revision: Long): Boolean =
         synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
 
+    /** The time by which the reports of servers age. Differs from that of [clock] only where [observeEntryHosts] is used. */
+    private fun fleetTime(): Duration = contact.time(clock.elapsed())
+
     private fun publishServerChange(
         report: ServerReport,
         change: FleetTable.Change,
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -103,37 +103,62 @@
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
             if (decision is DispatchDecision.Refuse) {
-                if (waitBeforeReadmission(exchange, admitted.term)) continue
+                if (waitBeforeReadmission(exchange, admitted.term, decision)) continue
                 return answerRefusal(exchange, decision)
             }
-            decision as DispatchDecision.Send
+            check(decision is DispatchDecision.Send) { "the admission of request $number is not decided" }
             recordCharge(exchange, demand)
             exchange.lastServer = decision.server
+            progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
             val result = sendOnce(exchange, Attempt(number, decision)) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
         }
     }
 
-    /** Sends the request, or returns null if since it was admitted it was quarantined or the server asked for no more requests. */
+    /** Sends the request, or returns null if since it was admitted it may no longer be sent to that server. */
     private suspend fun sendOnce(
         exchange: Exchange,
         attempt: Attempt,
     ): AttemptResult? {
+        var outputTokens: Int? = null
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(attempt.decision.server)) {
+            if (isRevoked(exchange, attempt.decision.server)) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
+                // The leader refunds the tokens of a request that was not run, so the next admission must charge them again.
+                exchange.isCharged = exchange.possibleRuns > 0
+                if (clusterView.isEvacuated(attempt.decision.server)) excludeEvacuatedServers(exchange)
                 return null
             }
             exchange.attempts++
             exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
-            return sender.send(exchange, attempt)
+            val result = sender.send(exchange, attempt)
+            if (result is AttemptResult.Delivered) outputTokens = outputTokensOf(exchange)
+            return result
         } finally {
-            progress.recordStep(attempt.number, RequestStep.ENDED)
+            progress.recordStep(attempt.number, RequestStep.ENDED, outputTokens)
         }
     }
 
+    /** True if the request has been quarantined, [server] has asked for no more requests, or its zone is under evacuation. */
+    private fun isRevoked(
+        exchange: Exchange,
+        server: String,
+    ): Boolean =
+        clusterView.isEvacuated(server) || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
+
+    /** Excludes the servers of evacuated zones, since a leader that does not know of the evacuation yet would choose the next of them. */
+    private fun excludeEvacuatedServers(exchange: Exchange) {
+        exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
+    }
+
+    /** The events of a stream are numbered by token. */
+    private fun outputTokensOf(exchange: Exchange): Int? =
+        exchange.events.lastId
+            ?.takeIf { it in 1..exchange.request.maxOutputTokens }
+            ?.toInt()
+
     /** Refuses a request because [key], one of its suspect keys, is quarantined. Without a retry delay, since it will not be run later. */
     private suspend fun refuseQuarantined(
         exchange: Exchange,
@@ -162,6 +187,7 @@
     private suspend fun waitBeforeReadmission(
         exchange: Exchange,
         term: Long?,
+        refusal: DispatchDecision.Refuse,
     ): Boolean {
         val now = clock.elapsed()
         val lastBreakAt = exchange.lastBreakAt
@@ -171,7 +197,10 @@
             return true
         }
         val waited = now - exchange.startedAt
-        if (term != null || waited > exchange.route.target * LEADERLESS_WAIT_SHARE) return false
+        // An evacuation does not end because a leader is elected.
+        val electionMayHelp = term == null && refusal.reason != DispatchRefusal.EVACUATED
+        val maxWait = exchange.route.target * LEADERLESS_WAIT_SHARE
+        if (!electionMayHelp || waited > maxWait) return false
         delay(LEADERLESS_POLL)
         return true
     }
@@ -191,6 +220,7 @@
 
             is AttemptResult.NotRun -> {
                 log.recordFailedAttempt("not_run", exchange, decision, result.reason)
+                if (result.isNotHeld) adapterOf(exchange)?.let { local.recordNotHeld(decision.server, it) }
                 exchange.isCharged = exchange.possibleRuns > 0
                 exchange.excludedServers += decision.server
                 if (exchange.attempts < MAX_ATTEMPTS && acquireRetry(exchange)) return null
@@ -260,19 +290,22 @@
         server: String,
     ): RunningRequest {
         val request = exchange.request
-        val unreadTokens = if (exchange.hasResponseStarted) 0 else request.promptTokens
         val left = (exchange.deadline - clock.elapsed()).inWholeMilliseconds
-        return RunningRequest(number, server, request.model, request.adapter, unreadTokens, left)
+        return RunningRequest(number, server, request.model, request.adapter, unreadTokens(exchange), left, exchange.priority)
     }
 
+    private fun unreadTokens(exchange: Exchange): Int = if (exchange.hasResponseStarted) 0 else exchange.request.promptTokens
+
     private fun recordAdapterHolder(
         exchange: Exchange,
         server: String,
     ) {
-        val request = exchange.request
-        if (request.model != null && request.adapter != null) local.recordHolder(server, AdapterName(request.model, request.adapter))
+        adapterOf(exchange)?.let { local.recordHolder(server, it) }
     }
 
+    private fun adapterOf(exchange: Exchange): AdapterName? =
+        exchange.request.let { if (it.model != null && it.adapter != null) AdapterName(it.model, it.adapter) else null }
+
     private suspend fun answerRefusal(
         exchange: Exchange,
         refusal: DispatchDecision.Refuse,
@@ -280,13 +313,30 @@
         log.recordRefusal(exchange, refusal)
         val status = if (refusal.reason == DispatchRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
-        val retryAfter = availability.timeUntilAvailable(exchange.service) ?: refusal.retryMillis.milliseconds
+        val retryAfter = if (refusal.reason == DispatchRefusal.EVACUATED) spread(refusal, exchange) else retryAfter(refusal, exchange)
         return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, retryAfter)
     }
 
-    /** Fails a request whose deadline, set by the client or by the timeout of the route, has passed. */
+    private fun retryAfter(
+        refusal: DispatchDecision.Refuse,
+        exchange: Exchange,
+    ): Duration = availability.timeUntilAvailable(exchange.service) ?: refusal.retryMillis.milliseconds
+
+    /** The retry delay of [refusal] plus or minus a quarter, so that clients refused together do not return together. */
+    private fun spread(
+        refusal: DispatchDecision.Refuse,
+        exchange: Exchange,
+    ): Duration {
+        val delay = refusal.retryMillis.milliseconds * Random.nextDouble(1 - RETRY_SPREAD, 1 + RETRY_SPREAD)
+        return minOf(delay, (exchange.deadline - clock.elapsed()) / 3).coerceAtLeast(Duration.ZERO)
+    }
+
+    /**
+     * Fails a request whose deadline, set by the client or by the timeout of the route, has passed. It is answered as not run if all
+     * attempts were turned away or gave up before a byte was sent.
+     */
     private suspend fun failExpired(exchange: Exchange): String =
-        fail(exchange, if (exchange.attempts == 0) UNAVAILABLE else GATEWAY_TIMEOUT, "timed_out", null)
+        fail(exchange, if (exchange.cancelAttempt()) GATEWAY_TIMEOUT else UNAVAILABLE, "timed_out", null)
 
     private suspend fun fail(
         exchange: Exchange,
@@ -341,6 +391,9 @@
         val BUSY_RETRY_AFTER = 100.milliseconds
         val STARTING_RETRY_AFTER = 500.milliseconds
 
+        /** Largest deviation of a retry delay, as a share of it. */
+        const val RETRY_SPREAD = 0.25
+
         /** Short, since another instance can serve the retry at once. */
         val STOPPING_RETRY_AFTER = 20.milliseconds
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -45,19 +45,28 @@
     private val incarnation = UUID.randomUUID().toString().take(INCARNATION_LENGTH)
     private val metrics = kernel.install(Metrics())
     private val network = kernel.install(network())
-    private val clusterView = ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat)
     private val requestMetrics = GatewayMetrics(metrics)
+    private val clusterView =
+        ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat, requestMetrics::recordEvacuation)
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
-    private val watch = kernel.install(WatchService(network, clusterView, settings.host, settings.peerPort, clock, ::self))
+    private val usesDelegates = settings.clients != null && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
+    private val watch =
+        kernel.install(
+            WatchService(network, clusterView, settings.host, settings.peerPort, clock, needsEntryHosts = usesDelegates, entry = ::self),
+        )
     private val bodies = BodyBudget()
     private var frontend: HttpServer? = null
     private var forwarder: Forwarder? = null
 
+    @Volatile
+    private var loadDelegate: LoadDelegate? = null
+
     @Volatile
     private var isStopping = false
 
     init {
+        settings.zones.forEach { requestMetrics.recordEvacuation(it, isActive = false) }
         network.handler = if (settings.isControl) installControl() else PeerHandler { _, message -> answer(message) }
         if (settings.clients != null) installEntry(settings.clients!!)
         val address = Address(settings.host, settings.metricsPort)
@@ -100,11 +109,23 @@
 
     private fun self(): EntryInstance? =
         settings.clients?.let {
-            EntryInstance(settings.host, it.toString(), settings.zone, settings.region, isReady, clusterView.entryCount ?: 0)
+            EntryInstance(
+                host = settings.host,
+                clients = it.toString(),
+                zone = settings.zone,
+                region = settings.region,
+                ready = isReady,
+                knownEntries = clusterView.entryCount ?: 0,
+                capacity = settings.capacity,
+            )
         }
 
-    private fun answer(message: PeerMessage): PeerMessage =
-        if (message is PeerMessage.Ping) PeerMessage.Ack else PeerMessage.Failed("not understood here")
+    private suspend fun answer(message: PeerMessage): PeerMessage =
+        when (message) {
+            is PeerMessage.Ping -> PeerMessage.Ack
+            is PeerMessage.DelegateLoad -> loadDelegate?.load(message) ?: PeerMessage.Failed("not a load delegate")
+            else -> PeerMessage.Failed("not understood here")
+        }
 
     private fun network(): PeerNetwork =
         PeerNetwork(
@@ -116,26 +137,49 @@
             hybridClock = HybridClock(clock),
             options = PeerOptions(silenceTimeout = PEER_SILENCE),
             acceptsPeer = { true },
-            onBytes = { sent, received ->
-                metrics.peerBytesSent.inc(sent.toDouble())
-                metrics.peerBytesReceived.inc(received.toDouble())
-            },
+            onSent = ::countSent,
+            onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
 
+    private fun countSent(
+        peer: String,
+        message: PeerMessage,
+        bytes: Int,
+    ) {
+        val zone = clusterView.zones[peer] ?: UNKNOWN_ZONE
+        metrics.peerBytesSent.labelValues(message.javaClass.simpleName, zone).inc(bytes.toDouble())
+    }
+
     private fun installControl(): PeerHandler {
         lateinit var quarantineStore: QuarantineStore
         val replica = kernel.install(replica { quarantineStore.restore(it) })
         quarantineStore =
             QuarantineStore(clusterView.suspects, { replica.isLeading }, { replica.view.state }, { replica.propose(it).isRight() })
         kernel.install(quarantineStore)
-        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock)
+        val watchResponder = WatchResponder(settings.host, incarnation, clusterView, replica::view, clock, settings.zone)
         val engineClient = RetryingEngineClient(dialects.engineClient(client, settings.instance))
         val handover = OrderHandover(settings.orderPause, settings.fencingChecked)
+        val options =
+            DispatchOptions(
+                coldOvershoot = settings.coldOvershoot,
+                coldSlack = settings.coldSlack,
+                minQueueEngines = settings.queueFromEngines.takeIf { it > 0 } ?: Int.MAX_VALUE,
+            )
         val dispatch =
             kernel.install(
-                LeaderDispatch(replica::view, clusterView, watchResponder, engineClient, DispatchOptions(), handover, clock),
+                LeaderDispatch(
+                    replica::view,
+                    clusterView,
+                    watchResponder,
+                    engineClient,
+                    options,
+                    handover,
+                    clock,
+                    AdmissionMetrics(metrics),
+                ),
             )
-        val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, clock)
+        kernel.install(DispatchWarmUp(clusterView, options))
+        val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
         settings.directory?.let {
@@ -165,6 +209,7 @@
                 onStateChange = { state ->
                     // Before the document, with which entry instances that have just started become ready.
                     restoreQuarantines(state)
+                    clusterView.applyEvacuations(ClusterView.Evacuations(state.evacuations, state.evacuationRevision))
                     state.document?.let(clusterView::applyDocument)
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
@@ -188,9 +233,11 @@
     ) = log.error("storage_damaged", "reason" to reason, "kept_in" to keptIn)
 
     private fun installEntry(address: Address) {
-        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView))
-        val local = LocalDispatch(clusterView, progress::countRunning)
-        val admissionClient = AdmissionClient(network::call, clusterView, local, clock) { progress.recordStep(it, RequestStep.ENDED) }
+        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView, clock))
+        val local = LocalDispatch(clusterView, progress)
+        val delegates = if (usesDelegates) installDelegates(local, progress) else null
+        val withdraw = { number: Long -> progress.recordStep(number, RequestStep.ENDED) }
+        val admissionClient = AdmissionClient(network::call, clusterView, local, clock, withdraw, delegates)
         val availability = ServerAvailability(clusterView, clock)
         val sender = RequestSender(client, dialects.requests, progress, availability, clock)
         val crashDetector = kernel.install(CrashDetector(client, clusterView))
@@ -219,6 +266,35 @@
         }
     }
 
+    private fun installDelegates(
+        local: LocalDispatch,
+        progress: ProgressReporter,
+    ): DelegateClient {
+        val reachability = kernel.install(ControlReachability(network::call, clusterView, clock))
+        val engineClient = dialects.engineClient(client, settings.instance)
+        val delegate = kernel.install(LoadDelegate(settings.host, clusterView, reachability, engineClient, DispatchOptions(), clock))
+        loadDelegate = delegate
+        val connections =
+            object : PeerConnections {
+                override fun connect(peer: String) = network.connectTo(peer, PeerAddress(peer, settings.peerPort))
+
+                override fun disconnect(peer: String) = network.disconnect(peer)
+            }
+        return kernel.install(
+            DelegateClient(
+                host = settings.host,
+                peers = network::call,
+                connections = connections,
+                clusterView = clusterView,
+                reachability = reachability,
+                delegate = delegate,
+                local = local,
+                countRunning = progress::countRunning,
+                clock = clock,
+            ),
+        )
+    }
+
     private fun retryBudget() = RetryBudget(settings.retryWindow, settings.retryShare * BUDGET_SAFETY, ::retryReserve)
 
     /** This instance's part of the retry reserve; nothing until it is known among how many the reserve is divided. */
@@ -237,6 +313,9 @@
 
     private companion object {
         const val INCARNATION_LENGTH = 8
+
+        /** Label value for the zone of an instance that has not reported one. */
+        const val UNKNOWN_ZONE = "unknown"
         const val MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
         /** Used by every instance that has no secret file, so that they can talk to each other. */
@@ -255,5 +334,8 @@
 
         /** Instances may briefly differ in the number of entry instances that they know, so each uses less than its share of the budget. */
         const val BUDGET_SAFETY = 0.7
+
+        /** Load delegates are used where the loss of this many control instances at once is expected. */
+        const val MIN_DELEGATE_LOSSES = 2
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -3,37 +3,44 @@
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.Service
-import anvilslip.kernel.isFatal
 import anvilslip.kernel.launchPeriodically
+import anvilslip.kernel.launchSupervised
 import anvilslip.policy.Admission
+import anvilslip.policy.AdmissionControl
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.Dispatcher
+import anvilslip.policy.LeaderFencing
 import anvilslip.policy.LoadOrder
 import anvilslip.policy.ModelOrder
+import anvilslip.policy.RequestKey
+import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerReport
 import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Runs a [Dispatcher] while this instance is the leader, and sends the orders that it issues to the engines. */
+@OptIn(ExperimentalCoroutinesApi::class)
 public class LeaderDispatch(
     private val replicaView: () -> ReplicaView,
     private val clusterView: ClusterView,
@@ -42,6 +49,7 @@
     private val options: DispatchOptions,
     private val handover: OrderHandover,
     private val clock: Clock,
+    metrics: AdmissionMetrics? = null,
 ) : Service {
     private class LeaderTerm(
         val number: Long,
@@ -49,7 +57,12 @@
         val previousLeader: String?,
         val electedAt: Duration,
     ) {
+        val admissions = AdmissionControl(dispatcher)
+
+        /** Admissions that have not been decided, because their requests wait; guarded by the lock. */
+        val pendingAdmissions = HashMap<RequestKey, CompletableDeferred<Admission>>()
         var canSendOrders = false
+        val fencing = LeaderFencing(number)
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
         var fleetRevision = -1L
@@ -58,11 +71,19 @@
 
     override val name: String = NAME
     private val log = EventLogger("dispatch")
+    private val admissionLog = AdmissionLog(metrics, clock)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val lock = Any()
     private val termState = TermState<LeaderTerm>()
     private val wasLeading = AtomicBoolean()
 
+    /** Signals that a waiting request may be able to start. */
+    private val changes = Channel<Unit>(Channel.CONFLATED)
+
+    /** State of the last term in which this instance has led. */
+    @Volatile
+    private var lastTerm: LeaderTerm? = null
+
     @Volatile
     private var lastLeader: String? = null
 
@@ -72,45 +93,100 @@
 
     override suspend fun start() {
         scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
+        scope.launchSupervised("admission queue") { recordProgress ->
+            while (true) {
+                awaitQueueWakeUp()
+                processQueue()
+                recordProgress()
+            }
+        }
     }
 
     override suspend fun stop() {
         scope.coroutineContext[Job]?.cancelAndJoin()
     }
 
-    /** Decides on [request], after loading the adapter if necessary. */
+    /** Decides on [request], after it has waited until it can start and its adapter is loaded if necessary. */
     public suspend fun admit(request: DispatchRequest): PeerMessage {
         val receivedAt = clock.elapsed()
         var loadCount = 0
+        var isReserved = false
         while (true) {
             val term = currentTerm() ?: return notLeader()
-            val waited = clock.elapsed() - receivedAt
-            when (val admission = decide(term, request.withElapsed(waited))) {
+            when (val admission = decide(term, request, receivedAt, isReserved) ?: return notLeader()) {
                 is Admission.Decided -> {
-                    val mayWait = waited < PLACE_TIMEOUT && admission.decision.isLoadingRefusal()
-                    if (!mayWait) return PeerMessage.AdmitReply(term.number, admission.decision)
-                    delay(PLACE_POLL)
+                    admissionLog.record(request, admission.decision, clock.elapsed() - receivedAt)
+                    return PeerMessage.AdmitReply(term.number, admission.decision)
                 }
 
                 is Admission.Load -> {
-                    if (++loadCount > MAX_LOADS) return refuseLoading(term)
-                    load(term, admission.order)
+                    if (++loadCount > MAX_LOADS) {
+                        // The adapter slot is reserved already, so the order must be carried out for other requests.
+                        scope.launch { load(term, admission.order) }
+                        return refuseLoading(term)
+                    }
+                    if (!finishes(receivedAt) { load(term, admission.order) }) return waitReply(term)
                 }
 
                 is Admission.AwaitOrder -> {
-                    term.pendingOrders[admission.server to admission.adapter]?.await() ?: delay(ORDER_POLL)
+                    val order = term.pendingOrders[admission.server to admission.adapter]
+                    if (!finishes(receivedAt) { order?.await() ?: delay(ORDER_POLL) }) return waitReply(term)
                 }
             }
+            isReserved = true
         }
     }
 
-    private fun DispatchRequest.withElapsed(waited: Duration): DispatchRequest {
-        val millis = waited.inWholeMilliseconds
-        return copy(targetMillis = targetMillis - millis, remainingMillis = remainingMillis - millis)
+    /** Waits until there may be something to do for the queue: an event, or the time that the queue has named. */
+    private suspend fun awaitQueueWakeUp() {
+        while (true) {
+            val nextAt = synchronized(lock) { lastTerm?.admissions?.nextWakeAt }
+            val remaining = if (nextAt == null) Duration.INFINITE else nextAt - clock.elapsed()
+            if (!remaining.isPositive()) return
+            withTimeoutOrNull(remaining) { changes.receive() }
+        }
+    }
+
+    /** Decides on waiting requests that can start now, and answers those that have waited as long as their entry instances may. */
+    private fun processQueue() {
+        val term = currentTerm()
+        if (term == null) {
+            lastTerm?.let(::cancelPendingAdmissions)
+            admissionLog.recordWaiting(emptyMap())
+            return
+        }
+        val sizes =
+            synchronized(lock) {
+                refreshDispatcher(term)
+                for (answer in term.admissions.wake(clock.elapsed())) {
+                    registerOrder(term, answer.admission)
+                    term.pendingAdmissions.remove(answer.key)?.complete(answer.admission)
+                }
+                term.admissions.waitingByPriority
+            }
+        admissionLog.recordWaiting(sizes)
+    }
+
+    /** Cancels the pending admissions of [term], which is over or whose lease has lapsed; their entry instances ask again. */
+    private fun cancelPendingAdmissions(term: LeaderTerm) =
+        synchronized(lock) {
+            term.admissions.clear()
+            for (pending in term.pendingAdmissions.values) pending.cancel()
+            term.pendingAdmissions.clear()
+        }
+
+    private fun signalChange(term: LeaderTerm) {
+        if (synchronized(lock) { term.admissions.recordChange() }) changes.trySend(Unit)
     }
 
-    /** True if no place for the adapter is free at present; one may become free within milliseconds. */
-    private fun DispatchDecision.isLoadingRefusal(): Boolean = this is DispatchDecision.Refuse && reason == DispatchRefusal.LOADING
+    /** Waits for [action]; returns false once the entry instance that asked at [receivedAt] needs an answer. */
+    private suspend fun finishes(
+        receivedAt: Duration,
+        action: suspend () -> Unit,
+    ): Boolean = withTimeoutOrNull(QUEUE_WAIT_TIMEOUT - (clock.elapsed() - receivedAt)) { action() } != null
+
+    /** Makes the entry instance ask again. Without an answer, it would take a leader that waits for an engine for one that is lost. */
+    private fun waitReply(term: LeaderTerm) = PeerMessage.AdmitReply(term.number, DispatchDecision.Wait)
 
     private fun refuseLoading(term: LeaderTerm): PeerMessage {
         val refusal = DispatchDecision.Refuse(DispatchRefusal.LOADING, options.adapterLoad.inWholeMilliseconds)
@@ -123,22 +199,70 @@
         synchronized(lock) {
             term.dispatcher.restoreRequests(message.entry, message.running, clock.elapsed())
             term.dispatcher.applyEvents(message.entry, message.events, clock.elapsed())
+            for (event in message.events) {
+                if (event.step == RequestStep.ENDED) withdrawWaiting(term, RequestKey(message.entry, event.number))
+            }
         }
+        if (message.events.isNotEmpty()) signalChange(term)
+    }
+
+    private fun withdrawWaiting(
+        term: LeaderTerm,
+        key: RequestKey,
+    ) {
+        term.admissions.withdraw(key)
+        term.pendingAdmissions.remove(key)?.cancel()
     }
 
     private fun notLeader() = PeerMessage.NotLeader(replicaView().leader?.instance)
 
-    private fun decide(
+    /** Returns the decision on [request] once it is made, or null if this instance stops leading before. */
+    private suspend fun decide(
         term: LeaderTerm,
         request: DispatchRequest,
-    ): Admission =
+        receivedAt: Duration,
+        isReserved: Boolean,
+    ): Admission? {
+        val key = RequestKey(request.entry, request.number)
+        val pending = CompletableDeferred<Admission>()
         synchronized(lock) {
             refreshDispatcher(term)
-            val admission = term.dispatcher.admit(request, clock.elapsed())
-            if (admission is Admission.Load) term.pendingOrders[admission.order.server to admission.order.adapter] = CompletableDeferred()
-            admission
+            val admission = term.admissions.ask(request, receivedAt, clock.elapsed(), isReserved)
+            if (admission != null) return admission.also { registerOrder(term, it) }
+            term.pendingAdmissions.put(key, pending)?.complete(Admission.Decided(DispatchDecision.Wait))
+        }
+        changes.trySend(Unit)
+        try {
+            withTimeoutOrNull(QUEUE_WAIT_TIMEOUT) { pending.join() }
+        } catch (e: CancellationException) {
+            // The adapter slot is reserved, so the order must be carried out.
+            if (!withdrawIfPending(term, key, pending)) {
+                (pending.getCompleted() as? Admission.Load)?.let { scope.launch { load(term, it.order) } }
+            }
+            throw e
+        }
+        return if (withdrawIfPending(term, key, pending)) null else pending.await()
+    }
+
+    /** Removes the request [key] from the queue if its admission is still [pending]. Returns false if it is decided. */
+    private fun withdrawIfPending(
+        term: LeaderTerm,
+        key: RequestKey,
+        pending: CompletableDeferred<Admission>,
+    ): Boolean =
+        synchronized(lock) {
+            val isPending = term.pendingAdmissions.remove(key, pending)
+            if (isPending) term.admissions.withdraw(key)
+            isPending || pending.isCancelled
         }
 
+    private fun registerOrder(
+        term: LeaderTerm,
+        admission: Admission,
+    ) {
+        if (admission is Admission.Load) term.pendingOrders[admission.order.server to admission.order.adapter] = CompletableDeferred()
+    }
+
     /** Returns the state of the current term, created now if this instance has just been elected; null if it does not lead. */
     private fun currentTerm(): LeaderTerm? {
         val view = replicaView()
@@ -155,12 +279,18 @@
     ): LeaderTerm {
         log.info("term_began", "term" to number, "has_predecessor" to hasPredecessor)
         val now = clock.elapsed()
-        return LeaderTerm(number, Dispatcher(options, now, hasPredecessor), lastLeader, now).also(::refreshDispatcher)
+        lastTerm?.let(::cancelPendingAdmissions)
+        val dispatcher = Dispatcher(options, now, hasPredecessor, clusterView.coldServers)
+        val term = LeaderTerm(number, dispatcher, lastLeader, now)
+        refreshDispatcher(term)
+        lastTerm = term
+        return term
     }
 
     private fun refreshDispatcher(term: LeaderTerm) {
         val active = clusterView.active
         active.configuration?.let { term.dispatcher.configure(it, active.versions, clock.elapsed()) }
+        term.dispatcher.setEvacuatedZones(clusterView.evacuations.zones)
         val revision = clusterView.changeCount
         if (revision == term.fleetRevision) return
         term.fleetRevision = revision
@@ -185,6 +315,7 @@
                 term.dispatcher.enginesToQuery(now)
             }
         logBeliefs(term, now)
+        signalChange(term)
         for (server in due) scope.launch { queryInventory(term, server) }
         while (true) {
             val order = synchronized(lock) { term.dispatcher.nextModelOrder(now) } ?: break
@@ -229,7 +360,7 @@
         term: LeaderTerm,
         server: ServerReport,
     ) = serverLock(term, server.id).withLock {
-        val inventory = orNullOnFailure(server.id) { engineClient.queryInventory(server.id, server.address) }
+        val inventory = orNullOnFailure(log, server.id) { engineClient.queryInventory(server.id, server.address) }
         log.info(
             "server_surveyed",
             "server" to server.id,
@@ -260,6 +391,7 @@
                     serverLock(term, order.server).withLock { executeLoad(term, order) }
                 } finally {
                     term.pendingOrders.remove(order.server to order.adapter)?.complete(Unit)
+                    signalChange(term)
                 }
             }.join()
     }
@@ -294,8 +426,11 @@
     ): OrderReply {
         val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
+        if (clusterView.isEvacuated(order.server)) return OrderReply.REFUSED
+        val token = term.fencing.tokenFor(order.server) ?: return OrderReply.REFUSED
         // The engine may have received an order whose exchange failed.
-        val reply = orNullOnFailure(order.server) { engineClient.sendOrder(order, term.number) } ?: OrderReply.UNANSWERED
+        val reply = orNullOnFailure(log, order.server) { engineClient.sendOrder(order, token.value) } ?: OrderReply.UNANSWERED
+        if (reply == OrderReply.FENCED) term.fencing.recordRefused(order.server, token)
         log.info(
             if (order.isLoad) "load_ordered" else "unload_ordered",
             "server" to order.server,
@@ -303,26 +438,12 @@
             "adapter" to order.adapter,
             "version" to order.version,
             "expected_orders" to order.expectedOrders,
-            "fencing" to term.number,
+            "fencing" to token.value,
             "reply" to reply,
         )
         return reply
     }
 
-    /** Returns the result of [exchange], or null if it fails, so that its outcome is recorded and [server] receives further orders. */
-    private suspend fun <T : Any> orNullOnFailure(
-        server: String,
-        exchange: suspend () -> T?,
-    ): T? =
-        try {
-            exchange()
-        } catch (e: Throwable) {
-            if (e.isFatal) throw e
-            currentCoroutineContext().ensureActive()
-            log.error("engine_exchange_failed", "server" to server, "error" to e)
-            null
-        }
-
     private fun serverLock(
         term: LeaderTerm,
         server: String,
@@ -336,8 +457,7 @@
         private val ORDER_POLL = 5.milliseconds
         private const val MAX_LOADS = 3
 
-        /** How long a request waits for a free place; must be shorter than the time that entry instances wait for the answer. */
-        private val PLACE_TIMEOUT = 100.milliseconds
-        private val PLACE_POLL = 25.milliseconds
+        /** Bounds the wait for the queue in case its passes fail; shorter than the time that entry instances wait for the answer. */
+        private val QUEUE_WAIT_TIMEOUT = 400.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -11,6 +11,8 @@
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RetryBudget
+import anvilslip.policy.ServerPhase
+import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
@@ -20,8 +22,10 @@
 import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerNetwork
 import arrow.core.right
+import kotlinx.coroutines.delay
 import java.net.ServerSocket
 import java.net.Socket
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,6 +45,7 @@
                 route("again", RequestKind.IDEMPOTENT),
                 route("stream", RequestKind.STREAMING),
                 route("resume", RequestKind.STREAMING, resumable = true),
+                route("patient", RequestKind.IDEMPOTENT).copy(timeout = 20.seconds),
                 route("charged", RequestKind.STREAMING, resumable = true, attempts = 3).copy(isPublic = false),
             ),
         workspaces = listOf(ServingWorkspace("w", listOf("k"))),
@@ -49,7 +54,10 @@
 /**
  * Starts a forwarder that tries [servers] in order, and runs [action] with a function that sends a request to it and with its
  * port. Of the requests for a retry, the first [refusals] are refused, and the first [localRefusals] of all requests are refused
- * without a leader because of the limit. [retryReserve] is the number of retries allowed; [demands] records all requests for admission.
+ * without a leader because of the limit; [localDecision] replaces the decision on every request. The servers are in [zones], if given, and
+ * [onAdmitted] is called after each decision, before the request is sent. [retryReserve] is the number of retries allowed, [connectTimeout]
+ * that of connections to servers; an admission takes [admissionTime] and holds the request for [holdMillis]; [demands] records all requests
+ * for admission.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -57,11 +65,20 @@
     localRefusals: Int = 0,
     retryReserve: Double = 2.0,
     senderClock: Clock = SystemClock,
+    connectTimeout: Duration = 300.milliseconds,
+    admissionTime: Duration = Duration.ZERO,
+    holdMillis: Long = 0,
     demands: MutableList<DispatchRequest> = mutableListOf(),
+    localDecision: DispatchDecision? = null,
+    zones: List<String> = emptyList(),
+    onAdmitted: (ClusterView) -> Unit = {},
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
     val clusterView = ClusterView({ configuration.right() }, SystemClock, setOf("127.0.0.1"), 1.seconds)
     clusterView.applyDocument(ConfigurationDocument(1, "text"))
+    zones.forEachIndexed { at, zone ->
+        clusterView.recordReport(ServerReport("s$at", "s", servers[at].address, zone, ServerPhase.READY, 1, 1), direct = true)
+    }
     val network =
         PeerNetwork(
             "e",
@@ -72,13 +89,15 @@
             HybridClock(SystemClock),
         )
     val progress = ProgressReporter("e", network, clusterView)
-    val client = HttpClient(connectTimeout = 300.milliseconds, threads = 1)
+    val client = HttpClient(connectTimeout = connectTimeout, threads = 1)
     val availability = ServerAvailability(clusterView, SystemClock)
 
     var refused = 0
 
     suspend fun admit(demand: DispatchRequest): AdmissionClient.Result {
         demands += demand
+        delay(admissionTime)
+        localDecision?.let { return AdmissionClient.Result(it, null) }
         if (demands.size <= localRefusals) {
             return AdmissionClient.Result(DispatchDecision.Refuse(DispatchRefusal.OVER_LIMIT, 500), null)
         }
@@ -87,7 +106,7 @@
         }
         val at = servers.indices.firstOrNull { "s$it" !in demand.exclude }
         val decision =
-            at?.let { DispatchDecision.Send("s$it", servers[it].address) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
+            at?.let { DispatchDecision.Send("s$it", servers[it].address, holdMillis) } ?: DispatchDecision.Refuse(DispatchRefusal.BUSY, 100)
         return AdmissionClient.Result(decision, 1)
     }
     val forwarder =
@@ -95,7 +114,7 @@
             self = ForwarderIdentity("e", "z"),
             dialect = TestDialect,
             clusterView = clusterView,
-            admit = ::admit,
+            admit = { demand -> admit(demand).also { onAdmitted(clusterView) } },
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
             sender = RequestSender(client, TestDialect, progress, availability, senderClock),
--- a/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/WatchResponderSpec.kt
@@ -58,6 +58,19 @@
                 answerAfter { clusterView.applyDocument(ConfigurationDocument(2, "text")) }.first shouldBe 100
             }
 
+            it("is answered at once when an evacuation begins, also without a leader") {
+                val (time, reply) = answerAfter { clusterView.applyEvacuations(ClusterView.Evacuations(setOf("z1", "z2"), 4)) }
+                time shouldBe 100
+                reply.evacuations shouldBe setOf("z1", "z2")
+                reply.evacuationRevision shouldBe 4
+            }
+
+            it("is answered at once when the last evacuation ends") {
+                val (time, reply) = answerAfter { clusterView.applyEvacuations(ClusterView.Evacuations(emptySet(), 5)) }
+                time shouldBe 100
+                reply.evacuations shouldBe emptySet()
+            }
+
             it("is answered at once when a new leader is known") {
                 val (time, reply) =
                     answerAfter {
@@ -85,6 +98,32 @@
             }
         }
 
+        describe("the answer to an instance that knows the current evacuations") {
+            it("does not contain them") {
+                val control = Control()
+                control.clusterView.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 4))
+                control.ask(PeerMessage.Watch(entry, evacuationRevision = 3)).evacuations shouldBe setOf("z1")
+                control.ask(PeerMessage.Watch(entry, evacuationRevision = 4)).evacuations shouldBe null
+            }
+        }
+
+        describe("the hosts of the entry instances in use") {
+            // Guards against hosts in every answer, and against answers that change for deployments without load delegates.
+            it("are contained only in answers to instances that ask for them and lack a change") {
+                val clock = TestClock(10.seconds)
+                val view = ClusterView({ ServingConfiguration(1).right() }, clock, emptySet(), heartbeat = 1.seconds)
+                val responder = WatchResponder("c", "x", view, { ReplicaView(ReplicaId("c", "x")) }, clock)
+                clock.time = 20.seconds
+                val watch = PeerMessage.Watch(entry, incarnation = "x")
+
+                suspend fun hosts(known: Int?) =
+                    (responder.respond("e", watch.copy(entryHostsHash = known)) as PeerMessage.WatchReply).entryHosts
+                hosts(null) shouldBe null
+                hosts(0) shouldBe listOf("e")
+                hosts(listOf("e").hashCode()) shouldBe null
+            }
+        }
+
         describe("the first answer to an instance that has restarted") {
             // Guards against requests to a server that has left, which an instance forgets when it restarts.
             it("contains the servers that signed off or drain, so that late reports cannot bring them back") {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
@@ -21,6 +21,11 @@
         @CborLabel(4) val version: Long? = null,
     ) : DispatchDecision
 
+    /** The request waits in the leader's queue. It keeps its place for a moment in which the entry instance has to ask again. */
+    @Serializable
+    @SerialName("wait")
+    public data object Wait : DispatchDecision
+
     /** Refuse the request. A retry after [retryMillis] may succeed. */
     @Serializable
     @SerialName("refuse")
@@ -31,5 +36,13 @@
         @CborLabel(3) val servers: Int = 0,
         /** Expected wait for the best server or for tokens of the workspace; null if it is not known. */
         @CborLabel(4) val waitMillis: Long? = null,
-    ) : DispatchDecision
+    ) : DispatchDecision {
+        public companion object {
+            /** Middle of the retry delays; an evacuation usually takes longer, but how much longer is not known. */
+            private const val EVACUATED_RETRY_MILLIS = 1000L
+
+            /** Refuses a request because all [servers] of its service are in availability zones under evacuation. */
+            public fun evacuated(servers: Int): Refuse = Refuse(DispatchRefusal.EVACUATED, EVACUATED_RETRY_MILLIS, servers)
+        }
+    }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -3,16 +3,24 @@
 import anvilslip.state.AdapterName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** The backend servers known to a [Dispatcher], and the expected cost of sending a request to each of them. */
 internal class DispatchFleet(
     private val options: DispatchOptions,
+    private val coldServers: ColdServers,
+    private val coldLimiter: ColdStartLimiter,
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
-    private val speeds = HashMap<String, PrefillSpeed>()
+    private val performances = HashMap<String, ServicePerformance>()
+    private var readyServers: Map<String, Int> = emptyMap()
+    val outputEstimate = OutputEstimate()
     var configuration = ServingConfiguration(-1)
     var versions: Map<AdapterName, Long> = emptyMap()
 
+    /** Availability zones to whose servers nothing new is sent. */
+    var evacuatedZones: Set<String> = emptySet()
+
     val servers: Collection<DispatchServer> get() = serversById.values
 
     operator fun get(id: String): DispatchServer? = serversById[id]
@@ -23,16 +31,38 @@
         now: Duration,
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
+        reports.forEach { coldServers.observe(it, now) }
         for (report in reports) {
             val server = serversById[report.id]
             when {
-                server == null -> serversById[report.id] = DispatchServer(report, options).also { it.assumeLoaded(report, now) }
-                server.report.startedAtMillis != report.startedAtMillis -> server.reset(report)
-                else -> server.report = report
+                server == null -> {
+                    serversById[report.id] =
+                        DispatchServer(report, options, performanceOf(report)).also { it.assumeLoaded(report, now) }
+                }
+
+                server.report.startedAtMillis != report.startedAtMillis -> {
+                    server.reset(report)
+                }
+
+                else -> {
+                    server.report = report
+                }
             }
         }
+        readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
     }
 
+    /** Number of ready servers of [service], also those in zones under evacuation. */
+    fun readyCount(service: String): Int = readyServers[service] ?: 0
+
+    /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
+    fun capacity(service: String): Double =
+        prefillSpeed(service) * servers.count { it.report.service == service && it.isReady && !isEvacuated(it) }
+
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    fun isQueued(service: String): Boolean =
+        readyCount(service) >= options.minQueueEngines && configuration.services[service]?.engine != null
+
     /**
      * Servers that can run [request]; recently unreachable servers are included only if there are no others. Suspects run on different
      * servers if possible, so that an innocent one does not share the next crash with the one that causes it.
@@ -41,14 +71,60 @@
         request: DispatchRequest,
         now: Duration,
     ): List<DispatchServer> {
-        val ready = servers.filter { it.report.service == request.service && it.isReady && it.report.id !in request.exclude }
+        val usable = servers.filter { it.report.service == request.service && it.isReady && !isEvacuated(it) }
+        val ready = usable.filter { it.report.id !in request.exclude }
         val reachable = ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
         return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
+    fun isEvacuated(server: DispatchServer): Boolean = server.report.zone in evacuatedZones
+
+    /** Number of ready servers of [service] if all of them are in zones under evacuation, otherwise 0. */
+    fun countIfAllEvacuated(service: String): Int {
+        val ready = servers.filter { it.report.service == service && it.isReady }
+        return if (ready.all(::isEvacuated)) ready.size else 0
+    }
+
+    private fun serviceOf(server: DispatchServer): BackendService? = configuration.services[server.report.service]
+
+    /** True if [server] is cold and tolerates only few requests. */
+    fun isCold(
+        server: DispatchServer,
+        now: Duration,
+    ): Boolean = coldServers.isCold(server.report, serviceOf(server), now)
+
+    /** True if another request may be sent at [at] to [server], which is cold. */
+    fun hasColdRoom(
+        server: DispatchServer,
+        at: Duration,
+        now: Duration,
+    ): Boolean {
+        val limit = ColdStartLimiter.limit(serviceOf(server) ?: return true, options)
+        return coldLimiter.hasRoom(server.report.id, at, now, limit)
+    }
+
+    /** Records that a request is to be sent to [server] at [at]. */
+    fun recordSend(
+        server: DispatchServer,
+        at: Duration,
+        now: Duration,
+    ) {
+        if ((serviceOf(server)?.coldRequestsPerSecond ?: 0.0) > 0) coldLimiter.record(server.report.id, at, now)
+    }
+
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
 
-    fun speed(service: String): PrefillSpeed = speeds.getOrPut(service) { PrefillSpeed(options.tokensPerMillisecond) }
+    private fun performanceOf(report: ServerReport): EnginePerformance {
+        val service =
+            performances.getOrPut(report.service) {
+                if (report.models == null) {
+                    ServicePerformance(options.serviceTime.toDouble(DurationUnit.MILLISECONDS), 0.0)
+                } else {
+                    ServicePerformance(1 / options.tokensPerMillisecond, options.runningRequestCost.toDouble(DurationUnit.MILLISECONDS))
+                }
+            }
+        return EnginePerformance(service)
+    }
 
     fun currentVersion(
         model: String,
@@ -60,34 +136,52 @@
         request: DispatchRequest,
     ): Boolean {
         val engine = engineOf(server) ?: return true
-        return server.runningRequests < engine.slots && server.kvTokens + request.promptTokens < engine.kvCapacity * options.memoryShare
+        return server.runningRequests < engine.slots && server.kvTokens + kvUse(request) < engine.kvCapacity * options.memoryShare
     }
 
+    /** Expected time until [server] answers [request], by which servers are compared: [cost] and the time for its own prompt. */
+    fun answerCost(
+        server: DispatchServer,
+        request: DispatchRequest,
+        now: Duration,
+    ): Duration = cost(server, request, now) + server.promptTime(request.promptTokens)
+
+    /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
+    fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
+
     /** Expected time until [server] starts [request], plus the penalty for a server in another zone. */
     fun cost(
         server: DispatchServer,
         request: DispatchRequest,
+        now: Duration,
     ): Duration {
         val zone = if (server.report.zone == request.zone) Duration.ZERO else options.zonePenalty
-        if (request.model != null) return server.expectedWait(speed(server.report.service).tokensPerMillisecond) + zone
-        return queueTime(server) + RUNNING_COST * server.runningRequests + zone
+        if (request.model != null) return server.expectedWait(now, waitPriority(request)) + zone
+        return server.performance.expectedTime(server.plainWork, 0) + RUNNING_COST * server.runningRequests + zone
     }
 
+    /** Least urgent priority whose pending tokens a server processes before [request]. Without a queue, all pending tokens count. */
+    fun waitPriority(request: DispatchRequest): Int = if (isQueued(request.service)) request.priority else PendingTokens.LEAST_URGENT
+
+    /** Prompt tokens per millisecond that an engine of [service] processes on average. */
+    fun prefillSpeed(service: String): Double = performances[service]?.let { 1 / it.millisPerUnit } ?: options.tokensPerMillisecond
+
+    /** Time that an engine of the service takes on average to process the prompt of [request]. */
+    fun prefillTime(request: DispatchRequest): Duration = (request.promptTokens / prefillSpeed(request.service)).milliseconds
+
     /** Expected time that a plain request waits for a free slot on [server]. */
-    fun queueTime(server: DispatchServer): Duration {
-        val queued = maxOf(0, server.runningRequests - server.report.slots + 1)
-        return options.serviceTime * queued / server.report.slots
-    }
+    fun queueTime(server: DispatchServer): Duration = server.performance.expectedTime(server.plainWork - 1, 0)
 
     /**
-     * True if a wait of [wait] on an engine would delay the answer to [request] beyond its target. The prefill time of its own
+     * True if a wait of [wait] on [server] would delay the answer to [request] beyond its target. The prefill time of its own
      * prompt alone never counts as too late.
      */
     fun isTooLate(
         wait: Duration,
+        server: DispatchServer,
         request: DispatchRequest,
     ): Boolean {
-        val prefillTime = (request.promptTokens / speed(request.service).tokensPerMillisecond).milliseconds
+        val prefillTime = server.promptTime(request.promptTokens)
         return wait + prefillTime > minOf(request.targetMillis, request.remainingMillis).milliseconds * options.waitShare &&
             wait > prefillTime
     }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -2,12 +2,13 @@
 
 import anvilslip.policy.AdapterSlot.State
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
 /** State of one backend server known to the [Dispatcher]: its loaded models and adapters, and the requests sent to it. */
 internal class DispatchServer(
     var report: ServerReport,
     private val options: DispatchOptions,
+    val performance: EnginePerformance,
 ) {
     val adapterSlots = LinkedHashMap<String, AdapterSlot>()
     private val recentlyEvicted = LinkedHashSet<String>()
@@ -19,9 +20,15 @@
     var runningSuspects = 0
 
     /** Prompt tokens sent to the server that it has not processed yet. */
-    var pendingPromptTokens = 0
+    val pendingPromptTokens = PendingTokens()
 
-    /** KV cache tokens used by running requests. */
+    /** Number of requests whose prompt tokens are in [pendingPromptTokens]. */
+    var pendingPrompts = 0
+
+    /** Time since which the server has worked on the first of its pending prompts. */
+    var promptStartedAt = Duration.ZERO
+
+    /** KV cache tokens that running requests use, or are expected to use when they end. */
     var kvTokens = 0
 
     /** Number of orders that the server has accepted; null until its inventory is known. */
@@ -29,7 +36,6 @@
     var avoidedUntil = Duration.ZERO
     var ordersPausedUntil = Duration.ZERO
     var isLoadingModel = false
-    var lastAnswerAt = Duration.ZERO
 
     val isReady: Boolean get() = report.phase == ServerPhase.READY
 
@@ -41,11 +47,32 @@
 
     fun holdsModel(model: String): Boolean = model in inventoryModels || report.models.orEmpty().any { it.name == model }
 
-    fun expectedWait(tokensPerMillisecond: Double): Duration =
-        (
-            pendingPromptTokens / tokensPerMillisecond +
-                runningRequests * MILLIS_PER_RUNNING_REQUEST
-        ).milliseconds
+    /** Expected time until the server starts a request of [priority]; engines start more urgent requests first. */
+    fun expectedWait(
+        now: Duration,
+        priority: Int = PendingTokens.LEAST_URGENT,
+    ): Duration = performance.expectedTime(remainingPromptTokens(now, priority), runningRequests)
+
+    /** Expected time for a prompt of [tokens] on an idle engine. */
+    fun promptTime(tokens: Int): Duration = performance.expectedTime(tokens.toDouble(), 0)
+
+    /**
+     * Pending prompt tokens of [priority] and more urgent ones, without those of the current prompt that have been processed since
+     * [promptStartedAt].
+     */
+    fun remainingPromptTokens(
+        now: Duration,
+        priority: Int,
+    ): Double {
+        val pending = pendingPromptTokens.upTo(priority).toDouble()
+        if (pendingPrompts == 0 || now <= promptStartedAt) return pending
+        val processed = (now - promptStartedAt).toDouble(DurationUnit.MILLISECONDS) * performance.speed
+        val meanPrompt = pendingPromptTokens.total.toDouble() / pendingPrompts
+        return (pending - minOf(processed, meanPrompt * MAX_PROGRESS)).coerceAtLeast(0.0)
+    }
+
+    /** Rounds of requests until a plain server answers a further request: one, and those of the queue ahead of it. */
+    val plainWork: Double get() = 1 + maxOf(0, runningRequests - report.slots + 1).toDouble() / report.slots
 
     fun isWarm(adapter: String): Boolean = adapter in recentlyEvicted
 
@@ -110,10 +137,11 @@
         ordersAccepted = null
         inventoryModels = emptySet()
         isLoadingModel = false
+        performance.restart()
     }
 
     private companion object {
-        /** Time in milliseconds that one running request adds to the prefill of a prompt, since it makes each batch step longer. */
-        const val MILLIS_PER_RUNNING_REQUEST = 0.5
+        /** Largest share of the current prompt that is assumed to be processed before its answer begins. */
+        const val MAX_PROGRESS = 0.8
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -14,18 +14,23 @@
  * and not processed yet. A request is sent to the server that is expected to answer first. A request that cannot be answered
  * within its target is refused immediately, because running it would only delay other requests.
  *
+ * @param coldServers which servers are cold; shared with the view of this instance, so that a new leader knows what it learnt before
  * @param hasPredecessor true if another leader preceded this one: its orders may still be in flight and its limits partly used
  */
 public class Dispatcher(
     private val options: DispatchOptions,
     now: Duration,
     hasPredecessor: Boolean,
+    private val coldServers: ColdServers = ColdServers(),
 ) {
-    private val fleet = DispatchFleet(options)
+    private val fleet = DispatchFleet(options, coldServers, ColdStartLimiter(now, hasPredecessor))
     private val limits = WorkspaceLimits(hasPredecessor)
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
 
+    private var weights: Map<String, Double> = emptyMap()
+    private var meanWeight = 1.0
+
     /** Number of requests sent to servers that have not ended. */
     public val runningRequests: Int get() = tracker.size
 
@@ -38,6 +43,9 @@
         fleet.versions = versions
         if (next.version == fleet.configuration.version) return
         fleet.configuration = next
+        weights =
+            next.workspaces.filter { it.ratePerSecond > 0 }.associate { it.name to it.ratePerSecond * it.charge(MEAN_TOKENS) / MEAN_TOKENS }
+        meanWeight = weights.values.average().takeIf { weights.isNotEmpty() } ?: 1.0
         limits.configure(next.workspaces, now)
     }
 
@@ -59,6 +67,11 @@
         now: Duration,
     ): Unit = fleet.updateServers(reports, now)
 
+    /** Sends nothing new to servers in the availability zones [zones]; requests that run there are not affected. */
+    public fun setEvacuatedZones(zones: Set<String>) {
+        fleet.evacuatedZones = zones
+    }
+
     /** Engines whose inventory must be queried before orders can be sent to them. */
     public fun enginesToQuery(now: Duration): List<ServerReport> = planner.enginesToQuery(now)
 
@@ -119,15 +132,59 @@
     /** Removes requests whose deadline has passed and whose end was not reported. */
     public fun expire(now: Duration): Unit = tracker.expire(now)
 
-    /** Decides whether and where to run [request]. */
+    /**
+     * Expected time until [server] begins to answer the last request that was sent to it, which has [promptTokens] and is held back for
+     * [hold]; null if the server is not known.
+     */
+    public fun expectedAnswer(
+        server: String,
+        promptTokens: Int,
+        hold: Duration,
+        now: Duration,
+    ): Duration? {
+        val known = fleet[server] ?: return null
+        val promptTime = known.promptTime(promptTokens)
+        return maxOf(hold, known.expectedWait(now) - promptTime) + promptTime
+    }
+
+    /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
+    internal fun isQueued(service: String): Boolean = fleet.isQueued(service)
+
+    /** Time that an engine takes to process the prompt of [request]. */
+    internal fun prefillTime(request: DispatchRequest): Duration = fleet.prefillTime(request)
+
+    /** Output tokens that [request] is expected to produce. */
+    internal fun expectedOutput(request: DispatchRequest): Int = fleet.outputEstimate.expected(request)
+
+    /** Prompt tokens per millisecond that the ready engines of [service] process together. */
+    internal fun capacity(service: String): Double = fleet.capacity(service)
+
+    /** Time until the limit of its workspace allows [request] after [reserved] tokens of requests that wait. */
+    internal fun limitWait(
+        request: DispatchRequest,
+        reserved: Long,
+        now: Duration,
+    ): Duration = limits.waitTime(request.workspace, request.charge, now, reserved)
+
+    /** Weight of [workspace] for fair queueing: its rate limit, or the mean of all limits if it has none. */
+    internal fun weightOf(workspace: String): Double = weights[workspace] ?: meanWeight
+
+    /**
+     * Decides whether and where to run [request].
+     *
+     * @param maxWait expected wait on an engine above which the request is refused; null for what its target allows
+     */
     public fun admit(
         request: DispatchRequest,
         now: Duration,
+        maxWait: Duration? = null,
     ): Admission {
         val wait = limits.waitTime(request.workspace, request.charge, now)
-        val maxLimitWait = request.targetMillis.milliseconds * options.limitWaitShare
+        // Where late requests may wait, one whose target has passed is not over its limit for that.
+        val target = if (isQueued(request.service)) maxOf(request.targetMillis, 0) else request.targetMillis
+        val maxLimitWait = target.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
-        val admission = place(request, wait, now)
+        val admission = place(request, wait, maxWait, now)
         val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
         if (sent) limits.spend(request.workspace, request.charge, now)
         return admission
@@ -136,17 +193,40 @@
     private fun place(
         request: DispatchRequest,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val candidates = fleet.candidates(request, now)
-        if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
+        if (candidates.isEmpty()) return refuseWithoutServer(request)
+        val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
+        val admission =
+            if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, maxWait, now)
+        val isRefused = (admission as? Admission.Decided)?.decision is DispatchDecision.Refuse
+        val open = if (isRefused) cold.filter { fleet.hasColdRoom(it, now + limitWait, now) } else emptyList()
+        return if (open.isEmpty()) admission else placeOn(open, request, limitWait, maxWait, now)
+    }
+
+    private fun placeOn(
+        candidates: List<DispatchServer>,
+        request: DispatchRequest,
+        limitWait: Duration,
+        maxWait: Duration?,
+        now: Duration,
+    ): Admission {
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
         val holders = candidates.filter { it.holdsModel(model) }
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
         val withMemory = holders.filter { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
-        val adapter = request.adapter ?: return send(request, withMemory.minBy { fleet.cost(it, request) }, limitWait, null, now)
-        return placeAdapter(request, model, adapter, withMemory, limitWait, now)
+        val adapter = request.adapter
+        if (adapter != null) return placeAdapter(request, model, adapter, withMemory, limitWait, maxWait, now)
+        return send(request, withMemory.minBy { fleet.answerCost(it, request, now) }, limitWait, null, maxWait, now)
+    }
+
+    private fun refuseWithoutServer(request: DispatchRequest): Admission {
+        val evacuated = fleet.countIfAllEvacuated(request.service)
+        if (evacuated > 0) return Admission.Decided(DispatchDecision.Refuse.evacuated(evacuated))
+        return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
     }
 
     private fun placePlain(
@@ -155,10 +235,10 @@
         limitWait: Duration,
         now: Duration,
     ): Admission {
-        val best = servers.minBy { fleet.cost(it, request) }
+        val best = servers.minBy { fleet.cost(it, request, now) }
         val wait = fleet.queueTime(best)
         if (wait > request.targetMillis.milliseconds * options.waitShare) return refuse(DispatchRefusal.BUSY, wait / 2, servers.size, wait)
-        return send(request, best, limitWait, null, now)
+        return send(request, best, limitWait, null, null, now)
     }
 
     private fun placeAdapter(
@@ -167,21 +247,25 @@
         adapter: String,
         servers: List<DispatchServer>,
         limitWait: Duration,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val version = fleet.currentVersion(model, adapter)
 
-        fun holderCost(server: DispatchServer) = fleet.cost(server, request) + planner.remainingLoad(server, adapter, now)
-        val holder = servers.filter { planner.holdsVersion(it, adapter, version) }.minByOrNull(::holderCost)
+        fun holderCost(server: DispatchServer) = fleet.cost(server, request, now) + planner.remainingLoad(server, adapter, now)
+        val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
+        val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
         val loader = if (holder != null && isSoon(holderCost(holder), request)) null else planner.pickServer(request, adapter, servers, now)
-        val loadCost = loader?.let { fleet.cost(it, request) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
+        val loadCost =
+            loader?.let { fleet.cost(it, request, now) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
             val slot = holder.adapterSlots.getValue(adapter)
             if (slot.state == State.RESERVED) return Admission.AwaitOrder(holder.report.id, adapter)
-            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, now)
+            return send(request, holder, maxOf(slot.readyAt - now, limitWait), version, maxWait, now)
         }
         if (loader == null) return refuse(DispatchRefusal.LOADING, options.adapterLoad / 2, servers.size)
-        if (fleet.isTooLate(loadCost, request)) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
+        val isLoadTooLate = isTooLate(loadCost, loader, request, maxWait)
+        if (isLoadTooLate) return refuse(DispatchRefusal.BUSY, retryAfter(loadCost, request), servers.size, loadCost)
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
@@ -196,15 +280,27 @@
         server: DispatchServer,
         hold: Duration,
         version: Long?,
+        maxWait: Duration?,
         now: Duration,
     ): Admission {
         val holdTime = hold.coerceAtLeast(Duration.ZERO)
-        val wait = fleet.cost(server, request) + holdTime
-        if (request.model != null && fleet.isTooLate(wait, request)) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
-        tracker.recordSent(request, server, now)
+        val wait = fleet.cost(server, request, now) + holdTime
+        val isAnswerTooLate = request.model != null && isTooLate(wait, server, request, maxWait)
+        if (isAnswerTooLate) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
+        val sendAt = now + holdTime
+        if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
+        fleet.recordSend(server, sendAt, now)
+        tracker.recordSent(request, server, holdTime, now)
         return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
     }
 
+    private fun isTooLate(
+        wait: Duration,
+        server: DispatchServer,
+        request: DispatchRequest,
+        maxWait: Duration?,
+    ): Boolean = if (maxWait != null) wait > maxWait else fleet.isTooLate(wait, server, request)
+
     /** Retry delay: short enough to meet the target if the queue shrinks meanwhile, because later answers are worth less to the client. */
     private fun retryAfter(
         wait: Duration,
@@ -225,9 +321,12 @@
     }
 
     private companion object {
+        /** Tokens of a typical request, which relates limits in requests to limits in tokens. */
+        const val MEAN_TOKENS = 1_000L
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
+        val COLD_RETRY = 500.milliseconds
         val BUSY_RETRY = 200.milliseconds
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 2.seconds
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -18,18 +18,31 @@
         var pendingTokens: Int,
         val kvTokens: Int,
         val sentAt: Duration,
+        /** Work of the server until it answers, at the time of sending; null if the time until its answer is not measured. */
+        val work: Double? = null,
+        /** Other requests that ran on the server at the time of sending. */
+        val running: Int = 0,
+        /** Start of the process that the request was sent to. */
+        val processStartedAtMillis: Long = 0,
         val expiresAt: Duration,
         val isSuspect: Boolean = false,
-    )
+        val priority: Int = 0,
+        val request: DispatchRequest? = null,
+    ) {
+        /** The objects that count the request. A server that was missing for a moment returns as another object, which does not. */
+        var countedBy: DispatchServer? = null
+        var slot: AdapterSlot? = null
+    }
 
     private val requests = HashMap<Pair<String, Long>, TrackedRequest>()
 
     val size: Int get() = requests.size
 
-    /** Records that [request] is sent to [server]. */
+    /** Records that [request] is sent to [server] after [hold]. */
     fun recordSent(
         request: DispatchRequest,
         server: DispatchServer,
+        hold: Duration,
         now: Duration,
     ) {
         val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
@@ -41,14 +54,29 @@
                 workspace = request.workspace,
                 charge = request.charge,
                 pendingTokens = promptTokens,
-                kvTokens = promptTokens,
-                sentAt = now,
+                kvTokens = fleet.kvUse(request),
+                sentAt = now + hold,
+                work = workUntilAnswer(request, server, now).takeIf { hold <= MAX_MEASURED_HOLD },
+                running = server.runningRequests,
+                processStartedAtMillis = server.report.startedAtMillis,
                 expiresAt = expiresAt,
                 isSuspect = request.isSuspect,
+                priority = request.priority,
+                request = request,
             )
         track(request.entry to request.number, server, tracked, now)
     }
 
+    private fun workUntilAnswer(
+        request: DispatchRequest,
+        server: DispatchServer,
+        now: Duration,
+    ): Double {
+        if (server.report.models == null) return server.plainWork
+        val tokensAhead = server.remainingPromptTokens(now, fleet.waitPriority(request))
+        return tokensAhead + request.promptTokens
+    }
+
     /** Restores the requests that [entry] reports as running. Requests that are known already are skipped. */
     fun restoreRequests(
         entry: String,
@@ -61,7 +89,19 @@
             if (key in requests) continue
             val expiresAt = now + request.remainingMillis.milliseconds + EVENT_MARGIN
             val promptTokens = request.promptTokens
-            track(key, server, TrackedRequest(request.server, request.adapter, null, 0, promptTokens, promptTokens, now, expiresAt), now)
+            val tracked =
+                TrackedRequest(
+                    server = request.server,
+                    adapter = request.adapter,
+                    workspace = null,
+                    charge = 0,
+                    pendingTokens = promptTokens,
+                    kvTokens = promptTokens,
+                    sentAt = now,
+                    expiresAt = expiresAt,
+                    priority = request.priority,
+                )
+            track(key, server, tracked, now)
         }
     }
 
@@ -81,12 +121,17 @@
         val server = fleet[tracked.server]
         when (event.step) {
             RequestStep.ANSWERING -> {
-                server?.let { observePrefill(it, tracked, now) }
+                if (tracked.pendingTokens > 0 && server != null) {
+                    observe(server, tracked, now)
+                    server.promptStartedAt = now
+                }
                 markPromptProcessed(tracked)
             }
 
             RequestStep.ENDED -> {
+                if (server?.report?.models == null) server?.let { observe(it, tracked, now) }
                 remove(key, tracked)
+                if (tracked.request != null && event.outputTokens != null) fleet.outputEstimate.observe(tracked.request, event.outputTokens)
             }
 
             RequestStep.NOT_RUN, RequestStep.NOT_HELD, RequestStep.UNREACHABLE -> {
@@ -98,14 +143,14 @@
         }
     }
 
-    private fun observePrefill(
+    private fun observe(
         server: DispatchServer,
         tracked: TrackedRequest,
         now: Duration,
     ) {
-        val from = maxOf(tracked.sentAt, server.lastAnswerAt)
-        server.lastAnswerAt = now
-        if (tracked.pendingTokens > 0 && now > from) fleet.speed(server.report.service).observe(tracked.pendingTokens, now - from)
+        val work = tracked.work ?: return
+        if (tracked.processStartedAtMillis != server.report.startedAtMillis) return
+        server.performance.observe(ServicePerformance.Sample(work, tracked.running, now - tracked.sentAt, now))
     }
 
     private fun track(
@@ -116,17 +161,25 @@
     ) {
         requests[key]?.let { remove(key, it) }
         requests[key] = tracked
+        tracked.countedBy = server
         server.runningRequests++
         if (tracked.isSuspect) server.runningSuspects++
-        server.pendingPromptTokens += tracked.pendingTokens
+        if (server.pendingPrompts == 0) server.promptStartedAt = tracked.sentAt
+        if (tracked.pendingTokens > 0) server.pendingPrompts++
+        server.pendingPromptTokens.add(tracked.priority, tracked.pendingTokens)
         server.kvTokens += tracked.kvTokens
         val slot = tracked.adapter?.let { server.adapterSlots[it] } ?: return
+        tracked.slot = slot
         slot.inFlight++
         slot.lastUsedAt = now
     }
 
     private fun markPromptProcessed(tracked: TrackedRequest) {
-        fleet[tracked.server]?.let { it.pendingPromptTokens -= tracked.pendingTokens }
+        val server = tracked.countedBy
+        if (server != null && tracked.pendingTokens > 0) {
+            server.pendingPrompts--
+            server.pendingPromptTokens.add(tracked.priority, -tracked.pendingTokens)
+        }
         tracked.pendingTokens = 0
     }
 
@@ -136,14 +189,17 @@
     ) {
         markPromptProcessed(tracked)
         requests.remove(key)
-        val server = fleet[tracked.server] ?: return
+        val server = tracked.countedBy ?: return
         server.runningRequests--
         if (tracked.isSuspect) server.runningSuspects--
         server.kvTokens -= tracked.kvTokens
-        tracked.adapter?.let { server.adapterSlots[it] }?.let { it.inFlight-- }
+        tracked.slot?.let { it.inFlight-- }
     }
 
     private companion object {
+        /** Longest hold of a request whose answer is measured; later requests may be answered during a longer one. */
+        val MAX_MEASURED_HOLD = 20.milliseconds
+
         /** Time after the deadline of a request for which its events may still arrive. */
         val EVENT_MARGIN = 1.seconds
     }
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -47,8 +47,18 @@
     val retryReserve: Double = 50.0,
     /** Minimum time between the orders of two successive leaders. */
     val orderPause: Duration = 3000.milliseconds,
+    /** Factor applied to the rate limit of a cold server to get the hard bound for all instances together. */
+    val coldOvershoot: Double = 1.0,
+    /** Requests per second added to that bound. */
+    val coldSlack: Double = 0.0,
     /** True if backend servers reject orders with an outdated fencing token. */
     val fencingChecked: Boolean = false,
+    /** Processing capacity relative to the other entry instances; clients are distributed by it. */
+    val capacity: Double = 1.0,
+    /** Number of ready engines of a service from which its requests wait in order at the leader; 0 if they never do. */
+    val queueFromEngines: Int = 0,
+    /** All availability zones, to which an evacuation can apply; empty if any zone may be named. */
+    val zones: Set<String> = emptySet(),
 ) {
     /** True on a control instance, which holds a replica and directs the other instances. */
     public val isControl: Boolean get() = control != null
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -51,7 +51,12 @@
                 retryShare = root.double("retryShare", 0.0..1.0, defaults.retryShare),
                 retryReserve = root.double("retryReserve", 0.0..MAX_RETRY_RESERVE, defaults.retryReserve),
                 orderPause = readDuration(root, "orderPause", defaults.orderPause),
+                coldOvershoot = root.double("coldOvershoot", 0.0..MAX_COLD_OVERSHOOT, defaults.coldOvershoot),
+                coldSlack = root.double("coldSlack", 0.0..MAX_COLD_SLACK, defaults.coldSlack),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
+                capacity = root.double("capacity", CAPACITIES, defaults.capacity),
+                queueFromEngines = root.int("queueFromEngines", 0..MAX_ENGINES, defaults.queueFromEngines)!!,
+                zones = root.names("zones"),
             )
         root.reportUnknownKeys()
         findings.check(settings.seeds.isNotEmpty(), root.placeOf("seeds")) { "must name at least one control instance" }
@@ -81,5 +86,9 @@
         val PORTS = 1..65_535
         const val MAX_TOLERATED_LOSSES = 10
         const val MAX_RETRY_RESERVE = 1e6
+        const val MAX_ENGINES = 100_000
+        val CAPACITIES = 0.001..1e6
+        const val MAX_COLD_OVERSHOOT = 1e3
+        const val MAX_COLD_SLACK = 1e6
     }
 }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -1,5 +1,6 @@
 package anvilslip.standin
 
+import anvilslip.policy.AdmissionOptions
 import anvilslip.policy.DispatchOptions
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -10,6 +11,10 @@
     val engines: Int = 6,
     val zones: Int = 3,
     val engine: EngineModelOptions = EngineModelOptions(),
+    /** Speeds of the engines relative to [engine], by turns. */
+    val engineSpeeds: List<Double> = listOf(1.0),
+    /** Slow spells of the engines; null for none. */
+    val slowSpells: SpeedProfile.SlowSpells? = null,
     val dispatch: DispatchOptions = DispatchOptions(),
     /** Number of adapters that clients request. */
     val adapters: Int = 3_000,
@@ -19,7 +24,30 @@
     val workspaces: List<Double> = listOf(0.45, 0.30, 0.15, 0.07, 0.03),
     /** Rate limit of a workspace in tokens per second, as a multiple of its mean demand. */
     val limitFactor: Double = 1.8,
+    val kinds: List<TrialKind> = TrialKind.DEFAULT,
     val targetLatency: Duration = 1.seconds,
     /** Maximum time that a request waits at the leader while its adapter is loaded. */
     val placementWait: Duration = 100.milliseconds,
-)
+    /** Loads that the weight store carries at full speed. */
+    val fullSpeedLoads: Int = 8,
+    val admission: AdmissionOptions = AdmissionOptions(),
+) {
+    public companion object {
+        /** A deployment of [engines] engines with requests of three priorities, of which most find their adapter loaded. */
+        public fun ofManyEngines(
+            engines: Int,
+            dispatch: DispatchOptions = DispatchOptions(),
+        ): DispatchTrialOptions =
+            DispatchTrialOptions(
+                engines = engines,
+                dispatch = dispatch,
+                adapters = 1_000,
+                skew = 1.4,
+                kinds = TrialKind.BY_PRIORITY,
+                fullSpeedLoads = (engines * FULL_SPEED_LOADS_PER_ENGINE).toInt(),
+            )
+
+        /** Concurrent loads per engine that the weight store carries at full speed. */
+        private const val FULL_SPEED_LOADS_PER_ENGINE = 0.65
+    }
+}
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -23,8 +23,16 @@
     val worstKind: Double,
     /** Loads from the weight store per hundred requests. */
     val fetches: Double,
+    /** Achieved share of the total worth of all requests, also those over the limit of their workspace. */
+    val worthOfAll: Double,
+    /** Shares of all requests, by priority. */
+    val byPriority: Map<Int, TrialPriorityResult>,
     /** Prefilled tokens divided by the prompt tokens of all answered requests. */
     val readShare: Double,
+    /** Prefilled tokens of the busiest engine relative to its speed, divided by the mean over all engines. */
+    val busiestEngine: Double = 1.0,
+    /** Median difference between the predicted and the actual time until an answer begins, relative to the actual time. */
+    val predictionError: Double = 0.0,
 ) {
     /** Lowest share of requests served over all workspaces. */
     val worstWorkspace: Double get() = servedByWorkspace.min()
--- a/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
@@ -12,6 +12,8 @@
     private val options: EngineModelOptions,
     private val store: WeightStoreModel,
     private val time: VirtualTime,
+    /** Speed of the engine in the course of time. */
+    public val profile: SpeedProfile = SpeedProfile(),
 ) {
     private val waiting = ArrayDeque<EngineRun>()
     private val prefilling = ArrayDeque<EngineRun>()
@@ -40,7 +42,7 @@
     /** Queues [run]; returns false if its adapter is not loaded. */
     public fun submit(run: EngineRun): Boolean {
         if (run.adapter != null && run.adapter !in loaded) return false
-        waiting += run
+        insertByPriority(waiting, run)
         scheduleStep()
         return true
     }
@@ -87,7 +89,7 @@
         val decodeTime = options.stepTime + options.stepTimePerRequest * decoding.size
         val duration = (tokens / options.prefillTokensPerMillisecond).milliseconds + if (decoding.isEmpty()) PREFILL_STEP else decodeTime
         val startedIncarnation = incarnation
-        time.at(time.now + duration) { if (startedIncarnation == incarnation) endStep() }
+        time.at(time.now + duration / profile.speedAt(time.now)) { if (startedIncarnation == incarnation) endStep() }
     }
 
     /** Moves queued requests into the batch while batch slots and KV memory are free. */
@@ -97,10 +99,15 @@
             if (used > 0 && used + waiting.first().kvTokens > options.kvCapacityTokens) return
             val run = waiting.removeFirst()
             run.tokensToPrefill = run.promptTokens - cachedPromptTokens(run)
-            prefilling += run
+            insertByPriority(prefilling, run)
         }
     }
 
+    private fun insertByPriority(
+        runs: ArrayDeque<EngineRun>,
+        run: EngineRun,
+    ) = runs.add(runs.indexOfLast { it.priority <= run.priority } + 1, run)
+
     private fun cacheKey(
         run: EngineRun,
         part: String,
