Load delegates only where a setting asks for them; keep decisions cheap where no server can be cold

Late answers of a busy control plane were taken for its loss, which may make two holders order at once on a stable core. The cold check and the count of pending tokens cost a pass over all servers in each decision; they are now skipped and kept as a sum. Not measured yet.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -50,7 +50,8 @@
         ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat, requestMetrics::recordEvacuation)
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
-    private val usesDelegates = settings.clients != null && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
+    private val mayDelegate = settings.delegateLoads && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
+    private val usesDelegates = settings.clients != null && mayDelegate
     private val watch =
         kernel.install(
             WatchService(network, clusterView, settings.host, settings.peerPort, clock, needsEntryHosts = usesDelegates, entry = ::self),
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -87,6 +87,9 @@
 
     private fun serviceOf(server: DispatchServer): BackendService? = configuration.services[server.report.service]
 
+    /** True if servers of [service] tolerate only few requests while they are cold. */
+    fun mayBeCold(service: String): Boolean = (configuration.services[service]?.coldRequestsPerSecond ?: 0.0) > 0
+
     /** True if [server] is cold and tolerates only few requests. */
     fun isCold(
         server: DispatchServer,
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -198,6 +198,7 @@
     ): Admission {
         val candidates = fleet.candidates(request, now)
         if (candidates.isEmpty()) return refuseWithoutServer(request)
+        if (!fleet.mayBeCold(request.service)) return placeOn(candidates, request, limitWait, maxWait, now)
         val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
         val admission =
             if (warm.isEmpty()) refuse(DispatchRefusal.BUSY, COLD_RETRY, cold.size) else placeOn(warm, request, limitWait, maxWait, now)
--- a/policy/src/main/kotlin/anvilslip/policy/PendingTokens.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/PendingTokens.kt
@@ -5,7 +5,8 @@
     private val byPriority = IntArray(PRIORITIES)
 
     /** Tokens of all priorities. */
-    val total: Int get() = byPriority.sum()
+    var total: Int = 0
+        private set
 
     /** Adds [tokens], which may be negative, for a request of [priority]. */
     fun add(
@@ -13,10 +14,12 @@
         tokens: Int,
     ) {
         byPriority[index(priority)] += tokens
+        total += tokens
     }
 
     /** Tokens that a server processes before those of a new request of [priority]. */
     fun upTo(priority: Int): Int {
+        if (priority >= LEAST_URGENT) return total
         var tokens = 0
         for (i in 0..index(priority)) tokens += byPriority[i]
         return tokens
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -55,6 +55,8 @@
     val fencingChecked: Boolean = false,
     /** Processing capacity relative to the other entry instances; clients are distributed by it. */
     val capacity: Double = 1.0,
+    /** True if entry instances may order loads of adapters while they cannot reach a majority of the control instances. */
+    val delegateLoads: Boolean = false,
     /** Number of ready engines of a service from which its requests wait in order at the leader; 0 if they never do. */
     val queueFromEngines: Int = 0,
     /** All availability zones, to which an evacuation can apply; empty if any zone may be named. */
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -55,6 +55,7 @@
                 coldSlack = root.double("coldSlack", 0.0..MAX_COLD_SLACK, defaults.coldSlack),
                 fencingChecked = root.bool("fencingChecked", defaults.fencingChecked),
                 capacity = root.double("capacity", CAPACITIES, defaults.capacity),
+                delegateLoads = root.bool("delegateLoads", defaults.delegateLoads),
                 queueFromEngines = root.int("queueFromEngines", 0..MAX_ENGINES, defaults.queueFromEngines)!!,
                 zones = root.names("zones"),
             )
