Ask once per change, not for each server in each decision, which services are queued

Found on re-reading the change: whether a service is queued was looked up for every server and every estimate of a decision; with the queue off, each report of progress still forced a pass while any request waited for an adapter slot; and reports were observed for cold servers that the service cannot have. Decisions stay the same. The specs of dispatch, admission, cold servers, evacuation and the trials pass, run before an unused function and half a sentence were dropped. The effect on processor time is not measured.

--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -99,10 +99,12 @@
         for (queue in queues.values) queue[key]?.let(queue::remove)
     }
 
-    /** Records that a server may have room for a waiting request. Returns true if any request waits. */
+    /** Records that a server may have room for a waiting request. Returns true if one may start. */
     public fun recordChange(): Boolean {
-        if (queues.values.all { it.size == 0 }) return false
-        for ((service, queue) in queues) if (dispatcher.isQueued(service)) queue.endPauses(options.triesPerPass)
+        // With few engines, requests are tried again at fixed intervals, whatever happens meanwhile.
+        val affected = queues.filter { (service, queue) -> queue.size > 0 && dispatcher.isQueued(service) }.values
+        if (affected.isEmpty()) return false
+        affected.forEach { it.endPauses(options.triesPerPass) }
         isPassDue = true
         return true
     }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -14,8 +14,15 @@
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val performances = HashMap<String, ServicePerformance>()
     private var readyServers: Map<String, Int> = emptyMap()
+
+    /** Services whose requests wait in an [AdmissionQueue]; kept because each decision asks for every server. */
+    private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
     var configuration = ServingConfiguration(-1)
+        set(value) {
+            field = value
+            updateQueuedServices()
+        }
     var versions: Map<AdapterName, Long> = emptyMap()
 
     /** Availability zones to whose servers nothing new is sent. */
@@ -31,7 +38,7 @@
         now: Duration,
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
-        reports.forEach { coldServers.observe(it, now) }
+        for (report in reports) if (mayBeCold(report.service)) coldServers.observe(report, now)
         for (report in reports) {
             val server = serversById[report.id]
             when {
@@ -50,18 +57,19 @@
             }
         }
         readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
+        updateQueuedServices()
     }
 
-    /** Number of ready servers of [service], also those in zones under evacuation. */
-    fun readyCount(service: String): Int = readyServers[service] ?: 0
-
     /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
     fun capacity(service: String): Double =
         prefillSpeed(service) * servers.count { it.report.service == service && it.isReady && !isEvacuated(it) }
 
     /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
-    fun isQueued(service: String): Boolean =
-        readyCount(service) >= options.minQueueEngines && configuration.services[service]?.engine != null
+    fun isQueued(service: String): Boolean = service in queuedServices
+
+    private fun updateQueuedServices() {
+        queuedServices = readyServers.filter { it.value >= options.minQueueEngines && configuration.services[it.key]?.engine != null }.keys
+    }
 
     /**
      * Servers that can run [request]; recently unreachable servers are included only if there are no others. Suspects run on different
