Pass on the failure that a server has answered if its retry does not come about

Callers got a 502 of the system for a request that a server had answered with a failure of its own, when the retry on another server was refused, broke, or was still under way at the deadline. The answer that was ready was dropped.

A leader that answers late on a busy machine makes such refusals likely. FailureOfServerSpec brings it about in a forwarder: 3 of 3 cases failed before ("refused_loading", "broken" and "timed_out" where the failure of the server is wanted), all pass now, with ForwarderSpec and ForwarderTimeoutSpec unchanged.

The failure is kept with the request and takes the place of the system's own final answer as long as no response has been started. A server's failure says nothing that 502 or 504 would deny: the request has run.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -1,6 +1,7 @@
 package anvilslip.gateway
 
 import anvilslip.entry.http.HttpResponder
+import anvilslip.entry.http.HttpResponse
 import anvilslip.entry.http.SendGate
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
@@ -36,6 +37,9 @@
     @Volatile
     var gate: SendGate? = null
 
+    /** The last failure that a server answered. It is passed on if no retry succeeds. */
+    var failure: HttpResponse? = null
+
     /** Number of all attempts, including those that no server ran. */
     var attempts = 0
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -229,12 +229,10 @@
 
             is AttemptResult.Failed -> {
                 exchange.possibleRuns++
+                exchange.failure = result.response
                 exchange.excludedServers += decision.server
                 if (canRunAgain(exchange) && acquireRetry(exchange)) return null
-                if (exchange.hasResponseStarted) return abortResponse(exchange, "failed_${result.response.status}")
-                exchange.hasResponseStarted = true
-                exchange.responder.respond(result.response)
-                return "answered_${result.response.status}"
+                return fail(exchange, result.response.status, "failed_${result.response.status}", null)
             }
 
             is AttemptResult.Broken -> {
@@ -338,6 +336,7 @@
     private suspend fun failExpired(exchange: Exchange): String =
         fail(exchange, if (exchange.cancelAttempt()) GATEWAY_TIMEOUT else UNAVAILABLE, "timed_out", null)
 
+    /** Ends a request without a success: with the failure that a server has answered, if there is one, otherwise with [status]. */
     private suspend fun fail(
         exchange: Exchange,
         status: Int,
@@ -346,8 +345,9 @@
     ): String {
         if (exchange.hasResponseStarted) return abortResponse(exchange, reason)
         exchange.hasResponseStarted = true
-        exchange.responder.respond(dialect.errorResponse(exchange.request, status, reason, retryAfter))
-        return reason
+        val failure = exchange.failure
+        exchange.responder.respond(failure ?: dialect.errorResponse(exchange.request, status, reason, retryAfter))
+        return if (failure == null) reason else "answered_${failure.status}"
     }
 
     private fun abortResponse(
