Recover the log after a torn write of several records

Cause: a record whose data was not written counted as torn only if it was the last for which the file was extended. With the vote or more entries in the same write, zeros follow it, and recovery reported damage.

A record that ends in a zero byte and is followed by nothing but zeros now counts as torn.

Ruled out: one sync for each record, which would also end the fault for new writes, but not for logs that exist, and costs a sync at each change of the leader. Not covered: a write of which later parts reached the disk and earlier ones did not; that is still damage.

--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -18,7 +18,7 @@
  * [Storage] in a data folder with the files `identity`, `snapshot` and `log-N`; the log file with the highest number is in use.
  *
  * Each log file starts with the vote and the entries after the snapshot, so older log files are deleted once it is synced.
- * A torn last record, as left by a crash during a write, is truncated. Any other damage raises [StorageException].
+ * A torn last write, as left by a crash, is truncated after its last complete record. Any other damage raises [StorageException].
  *
  * @param onSync called after each sync of the log
  */
--- a/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
@@ -72,13 +72,14 @@
         }
 
     /**
-     * Returns true if the last record of the file ends in a zero byte: the file was extended on disk before the data was
-     * written. A complete record never ends in a zero byte, because the CBOR encoding of a class ends with a break byte.
+     * Returns true if the record ends in a zero byte and only zeros follow: the file was extended on disk before the data was written.
+     * A complete record never ends in a zero byte, because the CBOR encoding of a class ends with a break byte. A write can hold
+     * several records, so the torn one need not be the last for which the file was extended.
      */
     private fun isTornTail(
         file: StoredFile,
         body: ByteArray,
-    ): Boolean = file.remaining == 0L && body.lastOrNull() == 0.toByte()
+    ): Boolean = body.lastOrNull() == 0.toByte() && file.isZeroToEnd()
 
     private fun checksum(body: ByteArray): Int = CRC32C().apply { update(body) }.value.toInt()
 }
--- a/state/src/test/kotlin/anvilslip/state/TornBatchSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/TornBatchSpec.kt
@@ -42,10 +42,11 @@
             tear: (file: RandomAccessFile, keptLength: Long, fullLength: Long) -> Unit,
             check: (RecoveredData) -> Unit,
         ) {
-            val (before, after) = write(folder(), batch)
+            val undamaged = folder()
+            val (before, after) = write(undamaged, batch)
             for (keptLength in before until after) {
                 val torn = folder()
-                write(torn, batch)
+                undamaged.toFile().copyRecursively(torn.toFile())
                 RandomAccessFile(log(torn).toFile(), "rw").use { tear(it, keptLength, after) }
                 val recovered = RecoveringStorage(torn, { reason, _ -> error("moved away: $reason") }) {}.use { it.recover() }
                 check(recovered)
