--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -422,15 +422,22 @@
             return
         }
         val snapshot = install.snapshot
-        if (snapshot.index > commitIndex) {
-            log.install(snapshot)
-            applied.install(snapshot)
-            voters = log.latestVoters()
-            output = output.copy(install = snapshot)
-        }
+        if (snapshot.index > commitIndex) applySnapshot(snapshot)
         send(from, ReplicaMessage.AppendReply(term, true, snapshot.index, install.round))
     }
 
+    /** Keeps a log that holds the last entry of [snapshot], because the entries after it may be acknowledged; otherwise replaces it. */
+    private fun applySnapshot(snapshot: Snapshot) {
+        if (log.termAt(snapshot.index) == snapshot.term) {
+            commitUpTo(snapshot.index)
+            return
+        }
+        log.install(snapshot)
+        applied.install(snapshot)
+        voters = log.latestVoters()
+        output = output.copy(install = snapshot)
+    }
+
     private fun onAppendReply(
         from: ReplicaId,
         reply: ReplicaMessage.AppendReply,
