Never send again what a follower has acknowledged

Cause: a rejection set the next entry to send without regard to the entries that the follower had acknowledged in the same term.

The next entry now follows the last acknowledged one at least. A follower under the same identity cannot lack those: it had synced them, and a replica that lost its disk has another identity. FollowersSpec failed before (expected:<21L> but was:<6L>) and passes; ReplicaCoreSpec (66 cases) and OpenMembershipSpec (44) pass.

--- a/state/src/main/kotlin/anvilslip/state/Followers.kt
+++ b/state/src/main/kotlin/anvilslip/state/Followers.kt
@@ -59,9 +59,12 @@
             }
         }
 
-        /** Continues with the entry after [index], because the replica lacks the entries that were sent later. */
+        /**
+         * Continues with the entry after [index], because the replica lacks the entries that were sent later. A late rejection can name
+         * an index before the acknowledged entries, which need not be sent again.
+         */
         fun resumeAfter(index: Long) {
-            nextIndex = index + 1
+            nextIndex = maxOf(index, matchIndex) + 1
             unacknowledged.clear()
             unacknowledgedBytes = 0
         }
