Show that a replica that lost its disk may never reach the leader

A replica without state asks only the members to let it join, and members that do not lead ignore the request. With an open membership the leader need not be a member. Then the place of the lost replica among the voters is never filled, and the next loss of as many disks as are tolerated is one too many: no leader, or an acknowledged change gone.

--- a/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
+++ b/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
@@ -46,6 +46,13 @@
     val trace = ArrayDeque<String>()
     var now = Duration.ZERO
     var lossRate = 0.0
+
+    /** Probability that a message arrives up to [MAX_LATE_MILLIS] late, after ones that were sent later. */
+    var lateRate = 0.0
+
+    /** True if a crash during a sync may leave a part of what was being written. */
+    var tearsWrites = false
+    private var syncsUntilPowerLoss: Int? = null
     var proposals = 0
         private set
     val acknowledgedCount get() = acknowledged.size
@@ -71,6 +78,18 @@
         host.core = null
     }
 
+    /** Takes the power from all hosts during one of the next [syncs] syncs, before what is written is synced or right after it. */
+    fun losePowerWithin(syncs: Int) {
+        syncsUntilPowerLoss = random.nextInt(syncs)
+    }
+
+    /** Takes the power from all hosts now. */
+    fun losePower() {
+        recordEvent("all hosts lose power")
+        syncsUntilPowerLoss = null
+        hosts.forEach { it.core = null }
+    }
+
     fun loseDisk(host: Host) {
         recordEvent("lose disk of ${host.name}")
         host.core = null
@@ -178,7 +197,11 @@
         host: Host,
         output: ReplicaOutput,
     ) {
-        if (output.needsSync && random.nextDouble() < crashRate) return crash(host)
+        if (output.needsSync && losesPowerNow()) return losePowerWhileStoring(host, output)
+        if (output.needsSync && random.nextDouble() < crashRate) {
+            if (tearsWrites) storePartly(host, output)
+            return crash(host)
+        }
         store(host, output)
         if (output.needsSync && random.nextDouble() < crashRate) return crash(host)
         for (outgoing in output.messages) send(host, outgoing)
@@ -205,6 +228,38 @@
         output.vote?.let { host.vote = it }
     }
 
+    /** Counts a sync; returns true if the power fails during it. */
+    private fun losesPowerNow(): Boolean {
+        val remaining = syncsUntilPowerLoss ?: return false
+        syncsUntilPowerLoss = remaining - 1
+        return remaining == 0
+    }
+
+    private fun losePowerWhileStoring(
+        host: Host,
+        output: ReplicaOutput,
+    ) {
+        if (random.nextBoolean()) store(host, output) else storePartly(host, output)
+        losePower()
+    }
+
+    /** Stores what a crash during the write of [output] may leave: the snapshot without the new log, or a part of the records. */
+    private fun storePartly(
+        host: Host,
+        output: ReplicaOutput,
+    ) {
+        val installed = output.install
+        if (installed != null) {
+            if (random.nextBoolean()) return
+            host.snapshot = installed
+            host.entries.removeAll { it.index <= installed.index }
+            return
+        }
+        val written = random.nextInt(output.append.size + 2)
+        val truncateFrom = output.truncateFrom?.takeIf { written > 0 }
+        store(host, ReplicaOutput(truncateFrom = truncateFrom, append = output.append.take(maxOf(0, written - 1))))
+    }
+
     private fun send(
         host: Host,
         outgoing: ReplicaOutput.Outgoing,
@@ -212,7 +267,8 @@
         if ((host.name to outgoing.to.instance) in cutLinks || random.nextDouble() < lossRate) return
         val copies = if (random.nextDouble() < DUPLICATES) 2 else 1
         repeat(copies) {
-            val delay = random.nextInt(1, MAX_DELAY_MILLIS).milliseconds
+            val isLate = lateRate > 0 && random.nextDouble() < lateRate
+            val delay = random.nextInt(1, if (isLate) MAX_LATE_MILLIS else MAX_DELAY_MILLIS).milliseconds
             messagesInFlight += MessageInFlight(outgoing.to, id(host), outgoing.message, now + delay)
         }
     }
@@ -261,6 +317,7 @@
         const val DRIFT = 0.004
         const val DUPLICATES = 0.02
         const val MAX_DELAY_MILLIS = 40
+        const val MAX_LATE_MILLIS = 4_000
         const val TRACE_LENGTH = 60
     }
 }
