Lead replicas that want to join to the leader

Cause: a replica that is no voter asks the members and the voters it knows of to let it join. A replica without state knows only the members, one with an old log only former voters, and those that do not lead ignored the request.

They now answer with the leader that they follow, and the replica asks that leader as well. The answer is a field of the existing reply to a bootstrap query, so that instances of earlier versions ignore it. LateSnapshotSpec, FollowersSpec, OpenMembershipSpec, ReplicaCoreSpec, ReplicaSpec and EvacuationSpec pass.

Ruled out: to drop a lost voter before its successor has caught up, which would leave four voters for longer.

--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -203,7 +203,7 @@
     private fun tickNonVoter(now: Duration) {
         if (now < nextPeriodicSend) return
         nextPeriodicSend = now + options.joinInterval
-        for (member in members + voters.map { it.instance } - id.instance) {
+        for (member in joinContacts()) {
             val recipient = ReplicaId(member, "")
             if (isUninitialized && mayBootstrap) send(recipient, ReplicaMessage.BootstrapQuery())
             send(recipient, ReplicaMessage.Join())
@@ -211,6 +211,8 @@
         if (isUninitialized && mayBootstrap && bootstrap.isAlone) startLog(setOf(id))
     }
 
+    private fun joinContacts(): Set<String> = members + voters.map { it.instance } - id.instance
+
     /**
      * Replies to the query. If the sender is one of the initial voters, it missed [ReplicaMessage.StartLog] and gets it again.
      * This is safe because it still has its first identity and has stored nothing under it.
@@ -227,12 +229,19 @@
         from: ReplicaId,
         reply: ReplicaMessage.BootstrapQueryReply,
     ) {
+        reply.leader?.let(::joinLeader)
         if (!isUninitialized || !mayBootstrap) return
         val initialVoters = bootstrap.recordReply(from, reply.uninitialized) ?: return
         startLog(initialVoters)
         for (voter in initialVoters - id) send(voter, ReplicaMessage.StartLog(initialVoters))
     }
 
+    /** Asks [leader] to let this replica join, unless it is among those that are asked anyway. */
+    private fun joinLeader(leader: ReplicaId) {
+        if (id in voters || leader.instance == id.instance || leader.instance in joinContacts()) return
+        send(ReplicaId(leader.instance, ""), ReplicaMessage.Join())
+    }
+
     private fun startLog(initialVoters: Set<ReplicaId>) {
         setVote(Vote(term = 1))
         appendToLog(listOf(LogEntry(1, 1, Payload.Membership(initialVoters))))
@@ -492,7 +501,11 @@
         from: ReplicaId,
         now: Duration,
     ) {
-        if (role != ReplicaRole.LEADER || from in voters) return
+        if (role != ReplicaRole.LEADER) {
+            leader?.let { send(from, ReplicaMessage.BootstrapQueryReply(isUninitialized, leader = it)) }
+            return
+        }
+        if (from in voters) return
         if (options.voterTarget == null && from.instance !in members) return
         sendEntries(from, followers.join(from, log.lastIndex + 1, now), now)
     }
--- a/state/src/main/kotlin/anvilslip/state/ReplicaMessage.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaMessage.kt
@@ -100,13 +100,18 @@
         override val term: Long = 0,
     ) : ReplicaMessage
 
-    /** Reply to a [BootstrapQuery]. */
+    /**
+     * Reply to a [BootstrapQuery], or to a [Join] that reached a replica which is not the leader.
+     *
+     * @property leader leader that the sender follows, which the receiver may ask to join; null if it is not known
+     */
     @Serializable
     @SerialName("census_reply")
     public data class BootstrapQueryReply(
         @SerialName("blank")
         val uninitialized: Boolean,
         override val term: Long = 0,
+        val leader: ReplicaId? = null,
     ) : ReplicaMessage
 
     /** Starts a new log with [initialVoters], sent after all members have replied that they have no state. */
