Separate the changes of names in a data folder from the storage

FileStorage renames, removes and syncs names through FolderOperations, so that a test can check in which order these reach the disk. Nothing else changes.

--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -5,10 +5,8 @@
 import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption
 import java.nio.file.StandardOpenOption
 import java.util.UUID
-import kotlin.io.path.deleteIfExists
 import kotlin.io.path.exists
 import kotlin.io.path.listDirectoryEntries
 import kotlin.io.path.name
@@ -22,10 +20,13 @@
  *
  * @param onSync called after each sync of the log
  */
-public class FileStorage(
+public class FileStorage internal constructor(
     private val folder: Path,
-    private val onSync: () -> Unit = {},
+    private val onSync: () -> Unit,
+    private val operations: FolderOperations,
 ) : Storage {
+    public constructor(folder: Path, onSync: () -> Unit = {}) : this(folder, onSync, LocalFolderOperations)
+
     private val buffer = StorageBuffer()
     private var log: FileChannel? = null
     private var vote = Vote()
@@ -38,12 +39,12 @@
             val snapshot = readSnapshot()
             val files = logFiles()
             val contents = files.lastOrNull()?.let(::readLog) ?: LogContents()
-            files.dropLast(1).forEach { it.deleteIfExists() }
+            files.dropLast(1).forEach(operations::delete)
             generation = files.lastOrNull()?.let(::generationOf) ?: 0
             log = FileChannel.open(logPath(generation), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
             // A killed process may have left data unsynced. From now on the replica relies on it, so it must be durable.
             log?.force(true)
-            syncFolder()
+            operations.sync(folder)
             vote = contents.vote
             val entries = contents.entries.filter { it.index > (snapshot?.index ?: 0) }
             checkContiguous(snapshot, entries)
@@ -99,7 +100,7 @@
         replaceFile(next.name, encode(sequenceOf(StoredRecord.Voted(vote)) + entryRecords(tail)))
         log = FileChannel.open(next, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
         previous?.close()
-        previousPath.deleteIfExists()
+        operations.delete(previousPath)
     }
 
     private fun append(records: Sequence<StoredRecord>) {
@@ -196,12 +197,8 @@
         FileChannel
             .open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)
             .use { file -> buffer.append(file, content) { file.force(true) } }
-        Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
-        syncFolder()
-    }
-
-    private fun syncFolder() {
-        FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
+        operations.move(temporary, folder.resolve(name))
+        operations.sync(folder)
     }
 
     private companion object {
