--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -29,6 +29,8 @@
     seeds: Set<String>,
     heartbeat: Duration,
     private val onEvacuationChange: (zone: String, isActive: Boolean) -> Unit = { _, _ -> },
+    /** Called with the version of each configuration document that comes into force. */
+    private val onVersionChange: (version: Long) -> Unit = {},
 ) {
     /** The active configuration document, its parsed form, and the versions set for adapters. */
     public data class ActiveConfiguration(
@@ -110,8 +112,15 @@
         changes.first { it > seenCount }
     }
 
-    /** Applies [document] if it is newer than the active one and can be parsed. */
-    public fun applyDocument(document: ConfigurationDocument) {
+    /**
+     * Applies [document] if it is newer than the active one and can be parsed.
+     *
+     * @param source where the document comes from: the host of a control instance, [LOG_SOURCE] or [SNAPSHOT_SOURCE]
+     */
+    public fun applyDocument(
+        document: ConfigurationDocument,
+        source: String = LOG_SOURCE,
+    ) {
         if (document.version <= (active.document?.version ?: -1)) return
         val parsed =
             dialect.parse(document.text).fold({
@@ -126,8 +135,10 @@
             "configuration_applied",
             "version" to document.version,
             "previous" to previous.document?.version,
+            "source" to source,
             "routes" to parsed.routes.size,
         )
+        onVersionChange(active.document?.version ?: document.version)
         signalChange()
     }
 
@@ -309,11 +320,17 @@
         synchronized(changes) { changes.value++ }
     }
 
-    private companion object {
+    public companion object {
+        /** Source of a document that this instance has applied from the replicated log. */
+        public const val LOG_SOURCE: String = "log"
+
+        /** Source of a document that this instance has recovered at its start, before it has heard of a leader. */
+        public const val SNAPSHOT_SOURCE: String = "snapshot"
+
         /** Consecutive heartbeats that may be lost before a server is considered down. */
-        const val MISSED_HEARTBEATS = 3
+        private const val MISSED_HEARTBEATS = 3
 
         /** Tolerated delay of a heartbeat. */
-        val HEARTBEAT_GRACE = 1500.milliseconds
+        private val HEARTBEAT_GRACE = 1500.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -11,6 +11,7 @@
 import anvilslip.state.Outcome
 import anvilslip.state.ProposeError
 import anvilslip.state.Replica
+import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
 import anvilslip.wire.PeerNetwork
 import arrow.core.Either
@@ -128,7 +129,14 @@
 
     /** Serves [readDocument] on the leader. Committing [Command.ReadBarrier] first proves that the local state is up to date. */
     public suspend fun readOnLeader(): Either<ProposeError, ConfigurationDocument?> =
-        replica.propose(Command.ReadBarrier).map { replica.view.state.document }
+        replica
+            .propose(Command.ReadBarrier)
+            .map { replica.view }
+            .onRight(::logRead)
+            .map { it.state.document }
+
+    private fun logRead(view: ReplicaView) =
+        log.info("configuration_read", "version" to view.state.document?.version, "index" to view.commitIndex, "term" to view.term)
 
     /** Records the heartbeat of a backend server. */
     public fun recordHeartbeat(report: ServerReport) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -47,7 +47,14 @@
     private val network = kernel.install(network())
     private val requestMetrics = GatewayMetrics(metrics)
     private val clusterView =
-        ClusterView(dialects.documents, clock, settings.seeds, settings.heartbeat, requestMetrics::recordEvacuation)
+        ClusterView(
+            dialects.documents,
+            clock,
+            settings.seeds,
+            settings.heartbeat,
+            requestMetrics::recordEvacuation,
+            requestMetrics::recordConfigurationVersion,
+        )
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
     private val mayDelegate = settings.delegateLoads && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
@@ -211,7 +218,8 @@
                     // Before the document, with which entry instances that have just started become ready.
                     restoreQuarantines(state)
                     clusterView.applyEvacuations(ClusterView.Evacuations(state.evacuations, state.evacuationRevision))
-                    state.document?.let(clusterView::applyDocument)
+                    val source = if (replica.view.leader == null) ClusterView.SNAPSHOT_SOURCE else ClusterView.LOG_SOURCE
+                    state.document?.let { clusterView.applyDocument(it, source) }
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
                 onLeaderChange = { leader, term -> clusterView.observeLeader(leader.instance, term) },
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
@@ -20,6 +20,11 @@
 
     private val evacuatedZones = metrics.gauge("anvilslip_zone_evacuated", "1 if the availability zone is under evacuation", "zone")
 
+    private val configurationVersion = metrics.gauge("anvilslip_configuration_version", "Version of the configuration document in force")
+
+    /** Records that [version] of the configuration document is in force on this instance. */
+    public fun recordConfigurationVersion(version: Long): Unit = configurationVersion.set(version.toDouble())
+
     /** Records whether the availability zone [zone] is under evacuation. */
     public fun recordEvacuation(
         zone: String,
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -222,7 +222,7 @@
         reply.evacuations?.let { clusterView.applyEvacuations(ClusterView.Evacuations(it, reply.evacuationRevision)) }
         reply.servers.forEach { clusterView.recordReport(it, direct = false) }
         reply.refreshed.forEach(clusterView::refreshServer)
-        reply.document?.let(clusterView::applyDocument)
+        reply.document?.let { clusterView.applyDocument(it, source = control) }
         reply.compressedDocument?.let { applyDocument(control, it) }
         reply.namedVersions?.let { clusterView.applyVersions(it, reply.namedRevision) }
         reply.leader?.let { clusterView.observeLeader(it, reply.term) }
@@ -236,7 +236,7 @@
         compressed: CompressedDocument,
     ) {
         val document = compressed.document
-        if (document != null) return clusterView.applyDocument(document)
+        if (document != null) return clusterView.applyDocument(document, source = control)
         log.error("document_unreadable", "control" to control, "version" to compressed.version, "bytes" to compressed.sizeBytes)
     }
 
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -165,6 +165,7 @@
             "id" to core.id,
             "index" to core.lastIndex,
             "term" to core.term,
+            "document" to core.state.document?.version,
             "uninitialized" to core.isUninitialized,
         )
     }
