Answer a read with the state that confirmed it

Callers: a read of the configuration could be answered with an older document, or with the statement that there is none, although a newer one was acknowledged.

Cause: readOnLeader committed a barrier and then looked at the view of the replica from another thread. A coroutine that is delayed, as on a machine short of processors, took whichever was there.

Replica.read returns the state, index and term at which the barrier was applied, from the replica's own thread. What happens to the replica later cannot change it. configuration_read logs these.

Ruled out by reading: proposeEvacuation takes only the revision from the view, which the leader compares; WatchResponder and QuarantineStore answer from a view without a wait. Not ruled out: LeaderService of the product's own interface reads the view several times for one answer.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlOperations.kt
@@ -8,10 +8,10 @@
 import anvilslip.policy.ServerReport
 import anvilslip.state.Command
 import anvilslip.state.ConfigurationDocument
+import anvilslip.state.ConfirmedRead
 import anvilslip.state.Outcome
 import anvilslip.state.ProposeError
 import anvilslip.state.Replica
-import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
 import anvilslip.wire.PeerNetwork
 import arrow.core.Either
@@ -127,16 +127,12 @@
         return (answer as? PeerMessage.DocumentReply)?.document?.right() ?: ProposeError.Unknown.left()
     }
 
-    /** Serves [readDocument] on the leader. Committing [Command.ReadBarrier] first proves that the local state is up to date. */
+    /** Serves [readDocument] on the leader. */
     public suspend fun readOnLeader(): Either<ProposeError, ConfigurationDocument?> =
-        replica
-            .propose(Command.ReadBarrier)
-            .map { replica.view }
-            .onRight(::logRead)
-            .map { it.state.document }
-
-    private fun logRead(view: ReplicaView) =
-        log.info("configuration_read", "version" to view.state.document?.version, "index" to view.commitIndex, "term" to view.term)
+        replica.read().onRight(::logRead).map { it.state.document }
+
+    private fun logRead(read: ConfirmedRead) =
+        log.info("configuration_read", "version" to read.state.document?.version, "index" to read.index, "term" to read.term)
 
     /** Records the heartbeat of a backend server. */
     public fun recordHeartbeat(report: ServerReport) {
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -56,15 +56,21 @@
 
         class Proposal(
             val command: Command,
-            val result: CompletableDeferred<Either<ProposeError, Outcome>>,
+            val result: CompletableDeferred<Either<ProposeError, Committed>>,
         ) : Input {
             override val contentBytes = command.contentBytes
         }
     }
 
+    /** What [outcome] a command had, and the state right after the step that applied it. */
+    private class Committed(
+        val outcome: Outcome,
+        val read: ConfirmedRead,
+    )
+
     private class PendingProposal(
         val term: Long,
-        val result: CompletableDeferred<Either<ProposeError, Outcome>>,
+        val result: CompletableDeferred<Either<ProposeError, Committed>>,
     )
 
     private val log = EventLogger("replica")
@@ -102,8 +108,13 @@
     }
 
     /** Replicates [command] and returns its outcome once it is applied. */
-    public suspend fun propose(command: Command): Either<ProposeError, Outcome> {
-        val result = CompletableDeferred<Either<ProposeError, Outcome>>()
+    public suspend fun propose(command: Command): Either<ProposeError, Outcome> = commit(command).map { it.outcome }
+
+    /** Returns a state that includes every command that was committed before the call. */
+    public suspend fun read(): Either<ProposeError, ConfirmedRead> = commit(Command.ReadBarrier).map { it.read }
+
+    private suspend fun commit(command: Command): Either<ProposeError, Committed> {
+        val result = CompletableDeferred<Either<ProposeError, Committed>>()
         if (!inputs.trySend(Input.Proposal(command, result))) return notLeader().left()
         return withTimeoutOrNull(PROPOSE_TIMEOUT) { result.await() } ?: ProposeError.Unknown.left()
     }
@@ -218,7 +229,8 @@
     private fun completeProposal(applied: ReplicaOutput.Applied) {
         val pending = pendingProposals.remove(applied.index) ?: return
         val outcome = applied.outcome?.takeIf { applied.term == pending.term }
-        pending.result.complete(outcome?.right() ?: notLeader().left())
+        val committed = outcome?.let { Committed(it, ConfirmedRead(core.state, applied.index, applied.term)) }
+        pending.result.complete(committed?.right() ?: notLeader().left())
     }
 
     private fun compactIfDue() {
