Make the new log durable before the old one is removed

Cause: recovery removed the logs of earlier generations before it synced the folder, so that the name of the log in use could still be lost.

It now syncs the log and the folder first. A log that is left over by a crash after that is removed at the next start, as before. FolderSyncSpec: 1 of 2 cases failed before (expected:<[]> but was:<["log-0"]>), both pass. FileStorageSpec, RecoveringStorageSpec and ReplicaSpec pass.

--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -39,12 +39,12 @@
             val snapshot = readSnapshot()
             val files = logFiles()
             val contents = files.lastOrNull()?.let(::readLog) ?: LogContents()
-            files.dropLast(1).forEach(operations::delete)
             generation = files.lastOrNull()?.let(::generationOf) ?: 0
             log = FileChannel.open(logPath(generation), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND)
             // A killed process may have left data unsynced. From now on the replica relies on it, so it must be durable.
             log?.force(true)
             operations.sync(folder)
+            files.dropLast(1).forEach(operations::delete)
             vote = contents.vote
             val entries = contents.entries.filter { it.index > (snapshot?.index ?: 0) }
             checkContiguous(snapshot, entries)
