Add a voter that rejoins before the next one is removed

Of five voters two may lose their disks at once. When both had rejoined, the first commit removed the old identity of one, the next that of the other, before any was added: three voters, of which a majority of two acknowledges. If those two then lose their disks, the change is gone.

Found by an independent review of the log. TwoRejoinsSpec failed before ("3 should be >= 4") and passes; all specs of the module pass (kernel and state: 223 tests). While a voter is missing, a replica that has caught up is now added first. Removing first remains for one replica at a time, since two identities of one instance must not both vote.

--- a/state/src/main/kotlin/anvilslip/state/Followers.kt
+++ b/state/src/main/kotlin/anvilslip/state/Followers.kt
@@ -172,13 +172,17 @@
         now: Duration,
     ): Set<ReplicaId>? {
         val target = options.voterTarget
-        val rejoined = caughtUp.firstOrNull { joiner -> voters.any { it.instance == joiner.instance } }
+        val (rejoining, new) = caughtUp.partition { joiner -> voters.any { it.instance == joiner.instance } }
+        // A replica whose earlier identity was removed takes its place before the next one is removed, so that one voter is missing at most.
+        val next = new.firstOrNull()
+        if (next != null && target != null && voters.size < target) return voters + next
+        val rejoined = rejoining.firstOrNull()
         if (rejoined != null) return voters.filter { it.instance != rejoined.instance || it == self }.toSet()
-        if (target == null) return caughtUp.firstOrNull()?.let { voters + it }
+        if (target == null) return next?.let { voters + it }
         val unresponsive = voters.firstOrNull { it != self && isUnresponsive(it, now) }
         return when {
             voters.size > target -> unresponsive?.let { voters - it }
-            voters.size < target || unresponsive != null -> caughtUp.firstOrNull()?.let { voters + it }
+            voters.size < target || unresponsive != null -> next?.let { voters + it }
             else -> null
         }
     }
