Set damaged files aside within the data folder

A damaged data folder was renamed to a folder beside it. Where a process may write to its data folder alone, as on the users' machines, that fails, and the instance fails at each start: its place among the voters is lost for good, though it could rejoin. The name in the parent folder was not synced either, so that a loss of power could bring the damaged folder back under its old identity.

The identity is moved and synced first: what a crash leaves in between is then not used under it.

--- a/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
@@ -3,12 +3,17 @@
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
+import kotlin.io.path.isRegularFile
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
 
 /**
- * [FileStorage] that renames a damaged data folder and starts with an empty one. The replica then rejoins under a new identity,
- * since under the old one it could break votes or acknowledgements that it no longer remembers.
+ * [FileStorage] that sets the files of a damaged data folder aside, in a folder within it, and starts with an empty one. The replica then
+ * rejoins under a new identity, since under the old one it could break votes or acknowledgements that it no longer remembers.
  *
- * @param onDamage called with the reason and the path to which the damaged folder was moved
+ * Nothing outside the data folder is written, since the process may have no right to do so.
+ *
+ * @param onDamage called with the reason and the path to which the damaged files were moved
  */
 public class RecoveringStorage(
     private val folder: Path,
@@ -23,7 +28,7 @@
         } catch (e: StorageException) {
             // An I/O error, such as a full disk, does not mean that the stored data is damaged.
             if (e.cause is IOException) throw e
-            moveDamagedFolder(e)
+            moveDamagedFiles(e)
             storage = FileStorage(folder, onSync)
             storage.recover()
         }
@@ -37,10 +42,27 @@
 
     override fun close(): Unit = storage.close()
 
-    private fun moveDamagedFolder(reason: StorageException) {
+    private fun moveDamagedFiles(reason: StorageException) {
         storage.close()
-        val target = folder.resolveSibling("${folder.fileName}.damaged-${System.nanoTime()}")
-        Files.move(folder, target)
+        val target = folder.resolve("damaged-${System.nanoTime()}")
+        Files.createDirectory(target)
+        // The identity goes first: what remains after a crash in between must not be used under it.
+        moveFiles(target) { it.name == IDENTITY_FILE }
+        moveFiles(target) { true }
         onDamage(reason.message, target)
     }
+
+    private fun moveFiles(
+        target: Path,
+        isMoved: (Path) -> Boolean,
+    ) {
+        val files = folder.listDirectoryEntries().filter { it.isRegularFile() && isMoved(it) }
+        for (file in files) LocalFolderOperations.move(file, target.resolve(file.name))
+        LocalFolderOperations.sync(target)
+        LocalFolderOperations.sync(folder)
+    }
+
+    private companion object {
+        const val IDENTITY_FILE = "identity"
+    }
 }
--- a/state/src/test/kotlin/anvilslip/state/RecoveringStorageSpec.kt
+++ b/state/src/test/kotlin/anvilslip/state/RecoveringStorageSpec.kt
@@ -24,6 +24,21 @@
             }
         }
 
+        describe("a damaged folder whose parent the process may not write to") {
+            // Guards against an instance that can never start again, where the data folder is the only one that it may write to.
+            it("is cleared within itself, and the damaged files are kept") {
+                val folder = folder()
+                val identity = FileStorage(folder).use { it.recover().identity }
+                folder.resolve("snapshot").writeBytes(ByteArray(40) { 7 })
+                var kept: Path? = null
+                RecoveringStorage(folder, { _, keptIn -> kept = keptIn }) {}.use { (it.recover().identity == identity) shouldBe false }
+                kept!!.parent shouldBe folder
+                kept.resolve("snapshot").exists() shouldBe true
+                folder.resolve("snapshot").exists() shouldBe false
+                FileStorage(folder).use { (it.recover().identity == identity) shouldBe false }
+            }
+        }
+
         describe("an I/O error") {
             it("is not treated as a damaged folder") {
                 val folder = folder()
