Let engines of the dispatch trial name limits, and measure what they get and what that costs

Engines of a load with limits name one from 10 to 30 s; the result has the mean wait until an answer begins and the requests of an engine in four seconds beyond what its limit allows, for the worst such time.

Ruled out: engines that get slower while they name a limit, in proportion to it.

--- a/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchLoad.kt
@@ -30,6 +30,12 @@
     /** Time at which [restartingEngines] engines restart without adapters; null for never. */
     val restartAt: Duration? = null,
     val restartingEngines: Int = 0,
+    /** Time from which [limitedEngines] engines name [limit]; null for never. */
+    val limitFrom: Duration? = null,
+    val limitTo: Duration = Duration.ZERO,
+    val limitedEngines: Int = 0,
+    /** Requests a second that each of the limited engines takes. */
+    val limit: Double = 1.2,
     val duration: Duration = 40.seconds,
 ) {
     public companion object {
@@ -57,6 +63,15 @@
             )
         }
 
+        /** A steady load on [engines] engines of which none, one or a third name a limit. */
+        public fun withLimits(engines: Int): List<DispatchLoad> =
+            listOf(0, 1, engines / 3).map {
+                DispatchLoad("limited-$it", engines * STEADY_PER_ENGINE, limitFrom = 10.seconds, limitTo = 30.seconds, limitedEngines = it)
+            }
+
+        /** Mean arrival rate per engine of a steady load. */
+        private const val STEADY_PER_ENGINE = 29 / 6.0
+
         /** Mean arrival rate per engine. It occupies most of the engines, so that each disturbance is an overload. */
         private const val REQUESTS_PER_SECOND_PER_ENGINE = 25 / 3.0
     }
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
@@ -61,6 +61,7 @@
     private var lastAttemptNumber = 0L
     private var sequence = 0L
     private val predictionErrors = ArrayList<Double>()
+    private val limitCheck = EngineLimitCheck(load)
 
     /** Runs the simulation and returns its metrics. */
     public fun run(): DispatchTrialResult {
@@ -69,11 +70,13 @@
         time.every(TICK, ::tick)
         load.drainAt?.let { time.at(it) { drainEngines() } }
         load.restartAt?.let { time.at(it) { restartEngines() } }
+        load.limitFrom?.let(::limitEngines)
         clients.start()
         time.runUntil(load.duration + SETTLE_TIME)
         return clients.result(store.loads, engines.sumOf { it.model.prefilledTokens }).copy(
             busiestEngine = busiestEngine(),
             predictionError = predictionErrors.sorted()[predictionErrors.size / 2],
+            requestsOverLimit = limitCheck.worstExcess(),
         )
     }
 
@@ -146,6 +149,12 @@
         }
     }
 
+    private fun limitEngines(from: Duration) {
+        val limited = engines.take(load.limitedEngines).map { it.model }
+        time.at(from) { limited.forEach { it.limit = load.limit } }
+        time.at(load.limitTo) { limited.forEach { it.limit = null } }
+    }
+
     /** Admits the first attempt for [request]. */
     private fun sendFirstAttempt(request: TrialRequest) = admit(Attempt(request, ++lastAttemptNumber, time.now))
 
@@ -266,6 +275,7 @@
     ) {
         val request = attempt.request
         val engine = byName.getValue(server)
+        if (engine.model.limit != null) limitCheck.recordArrival(server, time.now)
 
         fun recordStep(step: RequestStep) =
             time.at(time.now + NETWORK_DELAY * 2) {
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialReport.kt
@@ -14,6 +14,8 @@
             "worst kind" to { it.worstKind },
             "fetches/100" to { it.fetches },
             "read" to { it.readShare },
+            "wait" to { it.meanWait },
+            "over limit" to { it.requestsOverLimit },
         )
 
     private val priorityColumns: List<Pair<String, (TrialPriorityResult) -> Double>> =
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -33,6 +33,10 @@
     val busiestEngine: Double = 1.0,
     /** Median difference between the predicted and the actual time until an answer begins, relative to the actual time. */
     val predictionError: Double = 0.0,
+    /** Mean time in milliseconds until an answer begins. */
+    val meanWait: Double = 0.0,
+    /** Requests of an engine in four seconds beyond what its limit allows, for the worst such time; 0 if none. */
+    val requestsOverLimit: Double = 0.0,
 ) {
     /** Lowest share of requests served over all workspaces. */
     val worstWorkspace: Double get() = servedByWorkspace.min()
--- a/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/EngineModel.kt
@@ -25,6 +25,9 @@
     private var incarnation = 0
     private var isStepScheduled = false
 
+    /** Requests a second that the engine says it takes from all entry instances together; null if it names no limit. */
+    public var limit: Double? = null
+
     /** Prompt tokens prefilled since construction, over all restarts; cached tokens are not counted. */
     public var prefilledTokens: Long = 0
         private set
--- a/standin/src/main/kotlin/anvilslip/standin/Main.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/Main.kt
@@ -213,7 +213,7 @@
     override fun execute() {
         if (priorities) return runWithPriorities()
         val options = DispatchTrialOptions(engines = engines)
-        val loads = DispatchLoad.ALL.filter { load == null || it.name == load }
+        val loads = (DispatchLoad.ALL + DispatchLoad.withLimits(engines)).filter { load == null || it.name == load }
         println(DispatchTrialReport.table(loads.flatMap { each -> (1L..seeds).map { DispatchTrial(options, each, it).run() } }))
     }
 
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
+import kotlin.time.DurationUnit.MILLISECONDS
 
 /** Simulates the clients of a [DispatchTrial]: generates and retries requests and records their outcomes. */
 internal class TrialClients(
@@ -157,6 +158,12 @@
             worthOfAll = worth(requests),
             byPriority = requests.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
             readShare = prefilledTokens.toDouble() / answered.sumOf { it.promptTokens },
+            meanWait =
+                answered
+                    .mapNotNull { request ->
+                        request.answeredAt?.minus(request.arrivedAt)
+                    }.map { it.toDouble(MILLISECONDS) }
+                    .average(),
         )
     }
 
