Read the limits that servers name in their answers, and report them to the leader

A server in need names in its answers the requests per second that it takes from all entry instances together (Server-Limit). Nothing read the header, so no log said which server had named which limit, and no instance could keep to it.

Each entry instance keeps the limits by process of the server and logs a change as event=server_limited. An answer replaces another only if its request was sent after the other had come; otherwise the lower limit counts, so that an answer that was overtaken lifts none. Only the answer to a request that was run shows that a limit has ended.

What an instance has learnt goes to the leader with its next request for admission, so that the leader that decides for an instance that has been told knows the limit as well; a leader of another term answers Wait until it has been told all. The leader orders statements of different instances by its own sequence of decisions and reports, not by clocks, which freezes and delays would falsify: a statement replaces what was reported before the request behind it was granted. A decision for a limited server carries its sequence number, which also makes an instance that knows of no limit report its end.

No decision depends on the limits yet. Where no server names one, a request costs one read of a field.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -93,8 +93,10 @@
     ): Result? {
         var leader = knownLeader
         for (attempt in 1..MAX_ATTEMPTS) {
-            val result = peers.call(leader, PeerMessage.Admit(request), ANSWER_TIMEOUT)
+            val limits = clusterView.serverLimits.report()
+            val result = peers.call(leader, PeerMessage.Admit(request.copy(limits = limits)), ANSWER_TIMEOUT)
             val reply = result.getOrNull()
+            if (limits != null && reply is PeerMessage.AdmitReply) clusterView.serverLimits.acknowledge(limits, reply.term)
             if (reply is PeerMessage.AdmitReply) return recordReply(request, reply)
             if (result.leftOrNull() is PeerError.NoAnswer) leaderAvoidedUntil = clock.elapsed() + LEADER_AVOIDANCE
             val next = (reply as? PeerMessage.NotLeader)?.leader
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -9,6 +9,8 @@
 import anvilslip.policy.EntryHosts
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ReportVersion
+import anvilslip.policy.ServerIncarnation
+import anvilslip.policy.ServerLimits
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
 import anvilslip.state.AdapterName
@@ -78,6 +80,9 @@
     /** Which servers are cold. */
     public val coldServers: ColdServers = ColdServers()
 
+    /** The limits that servers have named in their answers to this instance. */
+    public val serverLimits: ServerLimits = ServerLimits()
+
     /** Requests that may crash backend servers. */
     public val suspects: SuspectRegistry = SuspectRegistry(clock, ::signalChange)
 
@@ -257,6 +262,9 @@
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
 
+    /** True if [server] has named a limit in its answers to this instance. */
+    public fun isLimited(server: ServerReport): Boolean = serverLimits.limitOf(ServerIncarnation(server.id, server.startedAtMillis)) != null
+
     /** True if [server] is cold and tolerates only few requests. */
     public fun isCold(server: ServerReport): Boolean =
         coldServers.isCold(server, active.configuration?.services?.get(server.service), clock.elapsed())
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -111,7 +111,7 @@
             exchange.lastServer = decision.server
             progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
-            val result = sendOnce(exchange, Attempt(number, decision)) ?: continue
+            val result = sendOnce(exchange, Attempt(number, decision, admitted.term)) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
         }
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -113,6 +113,7 @@
         var isReserved = false
         while (true) {
             val term = currentTerm() ?: return notLeader()
+            if (!isLimitReportComplete(request, term)) return waitReply(term)
             when (val admission = decide(term, request, receivedAt, isReserved) ?: return notLeader()) {
                 is Admission.Decided -> {
                     admissionLog.record(request, admission.decision, clock.elapsed() - receivedAt)
@@ -137,6 +138,15 @@
         }
     }
 
+    /**
+     * True if the leader of [term] knows all limits of servers that the entry instance of [request] knows. Otherwise that instance has
+     * told the previous leader, and asks again with all of them.
+     */
+    private fun isLimitReportComplete(
+        request: DispatchRequest,
+        term: LeaderTerm,
+    ): Boolean = request.limits?.term.let { it == null || it == term.number }
+
     /** Waits until there may be something to do for the queue: an event, or the time that the queue has named. */
     private suspend fun awaitQueueWakeUp() {
         while (true) {
@@ -227,6 +237,7 @@
         val pending = CompletableDeferred<Admission>()
         synchronized(lock) {
             refreshDispatcher(term)
+            request.limits?.let { term.dispatcher.recordLimits(it.statements, term.number) }
             val admission = term.admissions.ask(request, receivedAt, clock.elapsed(), isReserved)
             if (admission != null) return admission.also { registerOrder(term, it) }
             term.pendingAdmissions.put(key, pending)?.complete(Admission.Decided(DispatchDecision.Wait))
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -27,6 +27,7 @@
         val call = buildCall(exchange, attempt)
         exchange.gate = attempt.gate
         val incarnation = availability.incarnationOf(attempt.decision.server)
+        val sentAt = clock.elapsed()
         val response =
             try {
                 client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
@@ -38,8 +39,13 @@
                 return AttemptResult.Broken(e.message ?: "broken")
             }
         response.use {
-            availability.record(incarnation, dialect.noticeOf(response))
-            return when (dialect.classify(response)) {
+            val notice = dialect.noticeOf(response)
+            availability.record(incarnation, notice)
+            val verdict = dialect.classify(response)
+            // Only an answer to a request that was run shows that the server no longer names a limit.
+            val isLimitKnown = verdict == ServerVerdict.ANSWER || notice.limit != LimitNotice.None
+            if (isLimitKnown) availability.recordLimit(incarnation, notice.limit, attempt.limitGrant, sentAt)
+            return when (verdict) {
                 ServerVerdict.NOT_RUN -> recordNotRun(exchange, attempt, RequestStep.NOT_RUN, response)
                 ServerVerdict.NOT_HELD -> recordNotRun(exchange, attempt, RequestStep.NOT_HELD, response)
                 ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer was not created by the server")
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
@@ -2,6 +2,8 @@
 
 import anvilslip.kernel.Clock
 import anvilslip.kernel.EventLogger
+import anvilslip.policy.LimitGrant
+import anvilslip.policy.ServerIncarnation
 import anvilslip.policy.ServerPhase
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
@@ -62,6 +64,29 @@
         if (before == null || (notice.isLeaving && !before.isLeaving)) logAbsence(incarnation, notice)
     }
 
+    /** Records what an answer of [incarnation] to a request sent at [sentAt] says about the limit of the server. */
+    internal fun recordLimit(
+        incarnation: ServerIncarnation,
+        notice: LimitNotice,
+        grant: LimitGrant?,
+        sentAt: Duration,
+    ) {
+        val limit =
+            when (notice) {
+                LimitNotice.Unknown -> return
+                LimitNotice.None -> null
+                is LimitNotice.Named -> notice.requestsPerSecond
+            }
+        val limits = clusterView.serverLimits
+        if (!limits.record(incarnation, limit, grant, sentAt, clock.elapsed())) return
+        log.info(
+            "server_limited",
+            "server" to incarnation.server,
+            "started" to incarnation.startedAtMillis,
+            "limit" to (limits.limitOf(incarnation) ?: "none"),
+        )
+    }
+
     private fun isAbsent(incarnation: ServerIncarnation): Boolean {
         val absence = absences[incarnation] ?: return false
         return clock.elapsed() < absence.until && incarnation == incarnationOf(incarnation.server)
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -23,7 +23,11 @@
         if (response.header("not-run") == null) ServerVerdict.ANSWER else ServerVerdict.NOT_RUN
 
     override fun noticeOf(response: HttpClientResponse) =
-        ServerNotice(response.header("leaving") != null, response.header("pause")?.toLong()?.milliseconds)
+        ServerNotice(
+            isLeaving = response.header("leaving") != null,
+            pause = response.header("pause")?.toLong()?.milliseconds,
+            limit = response.header("limit")?.let { LimitNotice.Named(it.toDouble()) } ?: LimitNotice.None,
+        )
 
     override fun responseHeaders(response: HttpClientResponse): Map<String, String> = emptyMap()
 
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
@@ -19,6 +19,8 @@
         @CborLabel(3) val holdMillis: Long = 0,
         /** Required version of the adapter, or null if no current version is set. */
         @CborLabel(4) val version: Long? = null,
+        /** Sequence number of this decision if the leader knows that the server is limited, see [LimitGrant]. */
+        @CborLabel(5) val limitSequence: Long? = null,
     ) : DispatchDecision
 
     /** The request waits in the leader's queue. It keeps its place for a moment in which the entry instance has to ask again. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -18,6 +18,7 @@
     /** Services whose requests wait in an [AdmissionQueue]; kept because each decision asks for every server. */
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
+    val reportedLimits = ReportedLimits()
     var configuration = ServingConfiguration(-1)
         set(value) {
             field = value
@@ -38,6 +39,7 @@
         now: Duration,
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
+        reportedLimits.retain(reports)
         for (report in reports) if (mayBeCold(report.service)) coldServers.observe(report, now)
         for (report in reports) {
             val server = serversById[report.id]
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
@@ -38,4 +38,6 @@
     @CborLabel(15) val maxOutputTokens: Int = 0,
     /** The client's estimate of the number of output tokens, which is often far off; null if it gave none. */
     @CborLabel(16) val lengthHint: Int? = null,
+    /** Limits of servers that [entry] has learnt since the leader last answered it; null if it knows none. */
+    @CborLabel(17) val limits: LimitReport? = null,
 )
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -115,6 +115,14 @@
         now: Duration,
     ): Unit = planner.recordModelOrder(order, accepted, now)
 
+    /** Applies the limits that servers have named in their answers, as an entry instance reports them to the leader of [term]. */
+    public fun recordLimits(
+        statements: List<LimitStatement>,
+        term: Long,
+    ) {
+        for (statement in statements) fleet.reportedLimits.record(statement, statement.grant?.takeIf { it.term == term }?.sequence ?: 0)
+    }
+
     /** Applies [events] of requests that [entry] has sent. */
     public fun applyEvents(
         entry: String,
@@ -292,7 +300,9 @@
         if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
         fleet.recordSend(server, sendAt, now)
         tracker.recordSent(request, server, holdTime, now)
-        return Admission.Decided(DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version))
+        val limitSequence = fleet.reportedLimits.nextGrant(server.report)
+        val decision = DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version, limitSequence)
+        return Admission.Decided(decision)
     }
 
     private fun isTooLate(
--- /dev/null
+++ b/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
@@ -0,0 +1,29 @@
+package anvilslip.policy
+
+/** The limits of backend servers that entry instances have reported to the leader. Not thread-safe. */
+internal class ReportedLimits {
+    private val servers = HashMap<ServerIncarnation, LimitEvidence>()
+    private var lastSequence = 0L
+
+    /** Records a statement; [issuedAt] is the sequence number of the decision by which its request was sent, 0 if it is not known. */
+    fun record(
+        statement: LimitStatement,
+        issuedAt: Long,
+    ) {
+        val evidence = servers[statement.incarnation] ?: if (statement.limit == null) return else LimitEvidence()
+        evidence.add(statement, issuedAt, ++lastSequence)
+        if (evidence.limit == null) servers -= statement.incarnation else servers[statement.incarnation] = evidence
+    }
+
+    /** The limit of [server] in requests per second; null if none is known. */
+    fun limitOf(server: ServerReport): Double? =
+        if (servers.isEmpty()) null else servers[ServerIncarnation(server.id, server.startedAtMillis)]?.limit
+
+    /** Sequence number of a decision to send a request to [server]; null if the server is not limited. */
+    fun nextGrant(server: ServerReport): Long? = if (limitOf(server) == null) null else ++lastSequence
+
+    /** Forgets the limits of servers that are not in [reports]. */
+    fun retain(reports: List<ServerReport>) {
+        if (servers.isNotEmpty()) servers.keys.retainAll(reports.map { ServerIncarnation(it.id, it.startedAtMillis) }.toSet())
+    }
+}
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerIncarnation.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerIncarnation.kt
@@ -1,7 +1,7 @@
-package anvilslip.gateway
+package anvilslip.policy
 
 /** One run of the process of a backend server. A server may start again under its ID; the new process knows nothing of the earlier one. */
-internal data class ServerIncarnation(
+public data class ServerIncarnation(
     val server: String,
     val startedAtMillis: Long,
 )
