Keep to the limits that servers name in their answers, over all entry instances

Cause: nothing read or kept the limit; a bound over all instances needs one place that grants.

The leader now grants from a token bucket for each server that has named a limit: it begins empty, refills at the limit, and keeps a request and half a second of the limit. In 4 s it grants 4.5 times the limit and one request, so that what is delivered up to 1 s later stays within 6 times the limit and 5 requests. A limit below one request in 4 s still gets one, or its end would never be noticed. Limited servers without room are no candidates; if all are, the request is refused at once (LIMITED) with the time until the first has room, or waits in the admission queue if that is within its target. Adapters are loaded on limited servers only if all that have room are limited and no server holds the adapter, so that no request starts one load after another. Without a leader an instance sends nothing to a server that it knows to be limited, and a decision that was asked for before a limit was learnt is not carried out. Each attempt has a decision of its own, so retries and resumed streams count.

Ruled out: a part of the limit for each instance (0.13 requests a second with 9), and ordering reports by clocks, which freezes falsify (docs/design/server-limits.md).

--- a/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
@@ -3,6 +3,7 @@
 import anvilslip.entry.http.SendGate
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.LimitGrant
+import kotlin.time.Duration
 
 /** One attempt to run a request on a backend server. */
 internal class Attempt(
@@ -10,6 +11,8 @@
     val decision: DispatchDecision.Send,
     /** Term of the leader that decided; null for a local decision. */
     val term: Long? = null,
+    /** Time at which the decision was asked for. */
+    val askedAt: Duration = Duration.ZERO,
 ) {
     val limitGrant: LimitGrant? get() = if (term == null) null else decision.limitSequence?.let { LimitGrant(term, it) }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -99,6 +99,7 @@
             suspects.quarantinedKey(exchange.suspectKeys)?.let { return refuseQuarantined(exchange, it) }
             val number = lastNumber.incrementAndGet()
             val demand = demand(exchange, number)
+            val askedAt = clock.elapsed()
             val admitted = admit(demand)
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
@@ -111,7 +112,7 @@
             exchange.lastServer = decision.server
             progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
-            val result = sendOnce(exchange, Attempt(number, decision, admitted.term)) ?: continue
+            val result = sendOnce(exchange, Attempt(number, decision, admitted.term, askedAt)) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
         }
     }
@@ -124,7 +125,7 @@
         var outputTokens: Int? = null
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (isRevoked(exchange, attempt.decision.server)) {
+            if (isRevoked(exchange, attempt.decision.server) || isLimitUnknown(attempt)) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
                 // The leader refunds the tokens of a request that was not run, so the next admission must charge them again.
                 exchange.isCharged = exchange.possibleRuns > 0
@@ -148,6 +149,10 @@
     ): Boolean =
         clusterView.isEvacuated(server) || suspects.quarantinedKey(exchange.suspectKeys) != null || availability.isUnavailable(server)
 
+    /** True if the server has named a limit of which the decision to send the request could not know. */
+    private fun isLimitUnknown(attempt: Attempt): Boolean =
+        attempt.decision.limitSequence == null && availability.isLimitedSince(attempt.decision.server, attempt.askedAt)
+
     /** Excludes the servers of evacuated zones, since a leader that does not know of the evacuation yet would choose the next of them. */
     private fun excludeEvacuatedServers(exchange: Exchange) {
         exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
@@ -197,8 +202,8 @@
             return true
         }
         val waited = now - exchange.startedAt
-        // An evacuation does not end because a leader is elected.
-        val electionMayHelp = term == null && refusal.reason != DispatchRefusal.EVACUATED
+        // An evacuation does not end because a leader is elected, and the room of limited servers does not grow.
+        val electionMayHelp = term == null && refusal.reason != DispatchRefusal.EVACUATED && refusal.reason != DispatchRefusal.LIMITED
         val maxWait = exchange.route.target * LEADERLESS_WAIT_SHARE
         if (!electionMayHelp || waited > maxWait) return false
         delay(LEADERLESS_POLL)
--- a/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
@@ -119,7 +119,8 @@
         val term = reachability.cutOffTerm ?: return null
         if (host !in LoadRanking.delegates(ask.server, clusterView.entryHosts)) return null
         val report = clusterView.servers().firstOrNull { it.id == ask.server && it.service == ask.service } ?: return null
-        if (report.phase != ServerPhase.READY || clusterView.isEvacuated(report) || clusterView.isCold(report)) return null
+        if (report.phase != ServerPhase.READY || clusterView.isEvacuated(report)) return null
+        if (clusterView.isCold(report) || clusterView.isLimited(report)) return null
         val active = clusterView.active
         val engine =
             active.configuration
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -63,7 +63,10 @@
         if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, request)
         // The share of this instance in what cold servers tolerate is zero, so that all instances together keep within the limit.
         val eligible = candidates.filter { canServe(it, request) && !clusterView.isCold(it) }
-        val best = chooseOfTwo(eligible, request) ?: return refuse(DispatchRefusal.LOADING, request)
+        // The same holds for servers that have named a limit.
+        val open = eligible.filterNot(clusterView::isLimited)
+        val reason = if (eligible.isEmpty()) DispatchRefusal.LOADING else DispatchRefusal.LIMITED
+        val best = chooseOfTwo(open, request) ?: return refuse(reason, request)
         chargeOrRefuse(request, now)?.let { return it }
         return DispatchDecision.Send(best.id, best.address, version = version(request))
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
@@ -87,6 +87,12 @@
         )
     }
 
+    /** True if [server] has named a limit since [askedAt], when the admission of a request was asked for that was decided without it. */
+    internal fun isLimitedSince(
+        server: String,
+        askedAt: Duration,
+    ): Boolean = clusterView.serverLimits.isLimitedSince(incarnationOf(server), askedAt)
+
     private fun isAbsent(incarnation: ServerIncarnation): Boolean {
         val absence = absences[incarnation] ?: return false
         return clock.elapsed() < absence.until && incarnation == incarnationOf(incarnation.server)
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderSpec.kt
@@ -1,7 +1,9 @@
 package anvilslip.gateway
 
+import anvilslip.kernel.SystemClock
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRequest
+import anvilslip.policy.ServerIncarnation
 import arrow.core.right
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.collections.shouldHaveSize
@@ -87,6 +89,38 @@
             }
         }
 
+        describe("a server that names a limit after a request for it was decided on, and before it is sent") {
+            // Guards against decisions without a leader, or of one that did not know of the limit.
+            it("gets the request only by a decision that was asked for with that knowledge") {
+                val server = ScriptedServer { head, _ -> wholeResponse(head) }
+                val demands = mutableListOf<DispatchRequest>()
+
+                fun nameLimit(view: ClusterView) {
+                    val now = SystemClock.elapsed()
+                    if (demands.size == 1) view.serverLimits.record(ServerIncarnation("s0", 1), 1.0, null, sentAt = now, receivedAt = now)
+                }
+                withForwarder(listOf(server), zones = listOf("z1"), demands = demands, onAdmitted = ::nameLimit) { call, _ ->
+                    call("/once/1") shouldEndWith "yes"
+                }
+                demands shouldHaveSize 2
+                server.requests shouldHaveSize 1
+            }
+        }
+
+        describe("a server that names a limit in its answers") {
+            it("is known to be limited until an answer names none") {
+                lateinit var view: ClusterView
+                val limits = ArrayDeque(listOf("limit: 1.5\r\n", ""))
+                val server = ScriptedServer { head, _ -> wholeResponse(head).replaceFirst("\r\n", "\r\n${limits.removeFirst()}") }
+                withForwarder(listOf(server), zones = listOf("z1"), onAdmitted = { view = it }) { call, _ ->
+                    call("/once/1") shouldEndWith "yes"
+                    view.serverLimits.limitOf(ServerIncarnation("s0", 1)) shouldBe 1.5
+                    call("/once/1") shouldEndWith "yes"
+                    view.serverLimits.limitOf(ServerIncarnation("s0", 1)) shouldBe null
+                }
+            }
+        }
+
         describe("a request that was admitted before an evacuation began and would be sent after it") {
             fun evacuateFirstZone(view: ClusterView) = view.applyEvacuations(ClusterView.Evacuations(setOf("z1"), 1))
 
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -209,7 +209,7 @@
             queue.remove(waiting)
             answer(waiting, refused(queue, waiting.requestAt(now), refusal), now)
         } else {
-            val refill = refusal.waitMillis?.takeIf { refusal.reason == DispatchRefusal.OVER_LIMIT }?.milliseconds
+            val refill = refusal.waitMillis?.takeIf { refusal.reason in REFILL_REASONS }?.let { (it + 1).milliseconds }
             queue.block(waiting, minOf(now + (refill ?: queue.pauseAfterFailure(waiting)), waiting.latestUsefulStartAt + 1.milliseconds))
         }
     }
@@ -245,11 +245,18 @@
         now: Duration,
     ): Boolean =
         if (dispatcher.isQueued(request.service)) {
-            refusal.reason in QUEUED_REASONS && canStartBeforeDeadline(queue, request, askedAt, now)
+            refusal.reason in QUEUED_REASONS && !isLimitedBeyondTarget(refusal, request) &&
+                canStartBeforeDeadline(queue, request, askedAt, now)
         } else {
             refusal.reason == DispatchRefusal.LOADING && now - askedAt < options.placeTimeout
         }
 
+    /** True if no limited server has room for [request] within its target. */
+    private fun isLimitedBeyondTarget(
+        refusal: DispatchDecision.Refuse,
+        request: DispatchRequest,
+    ): Boolean = refusal.reason == DispatchRefusal.LIMITED && refusal.retryMillis > request.targetMillis
+
     private fun canStartBeforeDeadline(
         queue: AdmissionQueue,
         request: DispatchRequest,
@@ -297,7 +304,10 @@
     private fun Admission.refusal(): DispatchDecision.Refuse? = (this as? Admission.Decided)?.decision as? DispatchDecision.Refuse
 
     private companion object {
-        val QUEUED_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY)
+        val QUEUED_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY, DispatchRefusal.LIMITED)
+
+        /** Reasons that pass at a known time. */
+        val REFILL_REASONS = setOf(DispatchRefusal.OVER_LIMIT, DispatchRefusal.LIMITED)
 
         /** Reasons that do not pass while a request waits. */
         val FINAL_REASONS = setOf(DispatchRefusal.NO_SERVER, DispatchRefusal.EVACUATED)
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -19,6 +19,7 @@
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
     val reportedLimits = ReportedLimits()
+    private val rateLimiter = ServerRateLimiter(reportedLimits)
     var configuration = ServingConfiguration(-1)
         set(value) {
             field = value
@@ -40,6 +41,7 @@
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
         reportedLimits.retain(reports)
+        rateLimiter.retain(reports)
         for (report in reports) if (mayBeCold(report.service)) coldServers.observe(report, now)
         for (report in reports) {
             val server = serversById[report.id]
@@ -63,8 +65,12 @@
     }
 
     /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
-    fun capacity(service: String): Double =
-        prefillSpeed(service) * servers.count { it.report.service == service && it.isReady && !isEvacuated(it) }
+    fun capacity(service: String): Double {
+        val usable = servers.filter { it.report.service == service && it.isReady && !isEvacuated(it) }
+        val speed = prefillSpeed(service)
+        if (!hasLimits) return speed * usable.size
+        return usable.sumOf { minOf(speed, (rateLimiter.rateOf(it.report) ?: Double.MAX_VALUE) * MEAN_PROMPT_TOKENS / MILLIS_PER_SECOND) }
+    }
 
     /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
     fun isQueued(service: String): Boolean = service in queuedServices
@@ -97,6 +103,17 @@
 
     private fun serviceOf(server: DispatchServer): BackendService? = configuration.services[server.report.service]
 
+    /** True if some server has named a limit. */
+    val hasLimits: Boolean get() = reportedLimits.hasLimits
+
+    fun isLimited(server: DispatchServer): Boolean = reportedLimits.limitOf(server.report) != null
+
+    /** Time until the limit that [server] has named allows a request; zero if it has named none. */
+    fun limitWait(
+        server: DispatchServer,
+        now: Duration,
+    ): Duration = rateLimiter.waitTime(server.report, now)
+
     /** True if servers of [service] tolerate only few requests while they are cold. */
     fun mayBeCold(service: String): Boolean = (configuration.services[service]?.coldRequestsPerSecond ?: 0.0) > 0
 
@@ -123,6 +140,7 @@
         now: Duration,
     ) {
         if ((serviceOf(server)?.coldRequestsPerSecond ?: 0.0) > 0) coldLimiter.record(server.report.id, at, now)
+        if (hasLimits) rateLimiter.recordSend(server.report, now)
     }
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
@@ -202,5 +220,9 @@
     private companion object {
         /** Cost per running request; spreads plain requests over servers that have free slots. */
         val RUNNING_COST = 5.milliseconds
+
+        /** Prompt tokens of a typical request, which relates the limit of a server in requests to its speed in tokens. */
+        const val MEAN_PROMPT_TOKENS = 1_000
+        const val MILLIS_PER_SECOND = 1_000
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
@@ -19,4 +19,7 @@
 
     /** All servers of the service are in availability zones under evacuation. */
     EVACUATED,
+
+    /** All servers that could serve the request have named a limit and have got what it allows for now. */
+    LIMITED,
 }
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -206,6 +206,41 @@
     ): Admission {
         val candidates = fleet.candidates(request, now)
         if (candidates.isEmpty()) return refuseWithoutServer(request)
+        if (!fleet.hasLimits) return placeWithinColdLimits(candidates, request, limitWait, maxWait, now)
+        val (open, closed) = candidates.partition { fleet.limitWait(it, now) == Duration.ZERO }
+        if (open.isEmpty()) return refuseLimited(closed, now)
+        val admission = placeWithinColdLimits(open, request, limitWait, maxWait, now)
+        val refusal = (admission as? Admission.Decided)?.decision as? DispatchDecision.Refuse
+        val holders = if (refusal?.reason == DispatchRefusal.LOADING) closed.filter { holds(it, request) } else emptyList()
+        return if (holders.isEmpty()) admission else refuseLimited(holders, now)
+    }
+
+    private fun refuseLimited(
+        servers: List<DispatchServer>,
+        now: Duration,
+    ): Admission {
+        val wait = servers.minOf { fleet.limitWait(it, now) }
+        return refuse(DispatchRefusal.LIMITED, wait + 1.milliseconds, servers.size, wait)
+    }
+
+    /** True if [server] holds the model and the adapter of [request], or is loading it. */
+    private fun holds(
+        server: DispatchServer,
+        request: DispatchRequest,
+    ): Boolean {
+        val model = request.model ?: return true
+        if (!server.holdsModel(model)) return false
+        val adapter = request.adapter ?: return true
+        return planner.holdsVersion(server, adapter, fleet.currentVersion(model, adapter))
+    }
+
+    private fun placeWithinColdLimits(
+        candidates: List<DispatchServer>,
+        request: DispatchRequest,
+        limitWait: Duration,
+        maxWait: Duration?,
+        now: Duration,
+    ): Admission {
         if (!fleet.mayBeCold(request.service)) return placeOn(candidates, request, limitWait, maxWait, now)
         val (cold, warm) = candidates.partition { fleet.isCold(it, now) }
         val admission =
@@ -264,7 +299,12 @@
         fun holderCost(server: DispatchServer) = fleet.cost(server, request, now) + planner.remainingLoad(server, adapter, now)
         val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
         val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
-        val loader = if (holder != null && isSoon(holderCost(holder), request)) null else planner.pickServer(request, adapter, servers, now)
+        val loader =
+            if (holder != null && isSoon(holderCost(holder), request)) {
+                null
+            } else {
+                planner.pickServer(request, adapter, loadersAmong(servers, request, now), now)
+            }
         val loadCost =
             loader?.let { fleet.cost(it, request, now) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
         if (holder != null && holderCost(holder) <= loadCost + options.copyThreshold) {
@@ -278,6 +318,21 @@
         return Admission.Load(planner.reserve(loader, model, adapter, version, now))
     }
 
+    /**
+     * The servers among [servers] on which the adapter of [request] may be loaded. Limited ones only if there are no others and no server
+     * holds the adapter: what they take may be used up once it is loaded, and the next one would be asked to load it.
+     */
+    private fun loadersAmong(
+        servers: List<DispatchServer>,
+        request: DispatchRequest,
+        now: Duration,
+    ): List<DispatchServer> {
+        if (!fleet.hasLimits) return servers
+        val unlimited = servers.filterNot(fleet::isLimited)
+        if (unlimited.isNotEmpty()) return unlimited
+        return if (fleet.candidates(request, now).any { holds(it, request) }) emptyList() else servers
+    }
+
     /** True if a wait of [wait] on a server that holds the adapter is short enough that another copy would not help. */
     private fun isSoon(
         wait: Duration,
@@ -298,6 +353,8 @@
         if (isAnswerTooLate) return refuse(DispatchRefusal.BUSY, retryAfter(wait, request), 1, wait)
         val sendAt = now + holdTime
         if (fleet.isCold(server, now) && !fleet.hasColdRoom(server, sendAt, now)) return refuse(DispatchRefusal.BUSY, COLD_RETRY, 1, wait)
+        val isHeldTooLong = holdTime > MAX_LIMITED_HOLD && fleet.isLimited(server)
+        if (isHeldTooLong) return refuse(DispatchRefusal.BUSY, holdTime - MAX_LIMITED_HOLD, 1, wait)
         fleet.recordSend(server, sendAt, now)
         tracker.recordSent(request, server, holdTime, now)
         val limitSequence = fleet.reportedLimits.nextGrant(server.report)
@@ -341,5 +398,8 @@
         val BUSY_RETRY = 200.milliseconds
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 2.seconds
+
+        /** Longest hold of a request for a limited server, so that requests arrive at the rate at which they were granted. */
+        val MAX_LIMITED_HOLD = 1.seconds
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
@@ -5,6 +5,8 @@
     private val servers = HashMap<ServerIncarnation, LimitEvidence>()
     private var lastSequence = 0L
 
+    val hasLimits: Boolean get() = servers.isNotEmpty()
+
     /** Records a statement; [issuedAt] is the sequence number of the decision by which its request was sent, 0 if it is not known. */
     fun record(
         statement: LimitStatement,
