Do not estimate the speed of a server from the few answers that its limit allows

Cause: ends of requests that frozen instances report seconds late. One or two of them among a handful of answers make a server look up to eight times as slow as it is; while others are free it is then never chosen, and its last answers count however old they are.

Answers of a server that is limited to less than five requests a second no longer count for its speed.

--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -108,6 +108,10 @@
 
     fun isLimited(server: DispatchServer): Boolean = reportedLimits.limitOf(server.report) != null
 
+    /** True if the limit that [server] has named allows too few requests to estimate its speed from their answers. */
+    fun answersSeldom(server: DispatchServer): Boolean =
+        hasLimits && rateLimiter.rateOf(server.report).let { it != null && it < MIN_OBSERVED_RATE }
+
     /** Time until the limit that [server] has named allows a request; zero if it has named none. */
     fun limitWait(
         server: DispatchServer,
@@ -224,5 +228,8 @@
         /** Prompt tokens of a typical request, which relates the limit of a server in requests to its speed in tokens. */
         const val MEAN_PROMPT_TOKENS = 1_000
         const val MILLIS_PER_SECOND = 1_000
+
+        /** Answers per second below which a few that are reported late, by instances that were frozen, would decide the estimate. */
+        const val MIN_OBSERVED_RATE = 5.0
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -150,6 +150,7 @@
     ) {
         val work = tracked.work ?: return
         if (tracked.processStartedAtMillis != server.report.startedAtMillis) return
+        if (fleet.answersSeldom(server)) return
         server.performance.observe(ServicePerformance.Sample(work, tracked.running, now - tracked.sentAt, now))
     }
 
