Let a new leader grant nothing to limited servers before it has been told of their limits

It may also be told of a limit that has ended, by instances that have sent nothing to the server since; with a bucket that refills at one request in 4 s, the end was noticed 4 s later.

For a second after its start a new leader grants nothing to servers that it is told are limited. The first request to a limited server is granted within a second of that, or of the limit being known, also if the limit is lower; the five requests beside the limit cover it.

--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -10,6 +10,7 @@
     private val options: DispatchOptions,
     private val coldServers: ColdServers,
     private val coldLimiter: ColdStartLimiter,
+    val reportedLimits: ReportedLimits,
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val performances = HashMap<String, ServicePerformance>()
@@ -18,7 +19,6 @@
     /** Services whose requests wait in an [AdmissionQueue]; kept because each decision asks for every server. */
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
-    val reportedLimits = ReportedLimits()
     private val rateLimiter = ServerRateLimiter(reportedLimits)
     var configuration = ServingConfiguration(-1)
         set(value) {
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -23,7 +23,7 @@
     hasPredecessor: Boolean,
     private val coldServers: ColdServers = ColdServers(),
 ) {
-    private val fleet = DispatchFleet(options, coldServers, ColdStartLimiter(now, hasPredecessor))
+    private val fleet = DispatchFleet(options, coldServers, ColdStartLimiter(now, hasPredecessor), ReportedLimits(now, hasPredecessor))
     private val limits = WorkspaceLimits(hasPredecessor)
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
--- a/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
@@ -1,7 +1,19 @@
 package anvilslip.policy
 
-/** The limits of backend servers that entry instances have reported to the leader. Not thread-safe. */
-internal class ReportedLimits {
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The limits of backend servers that entry instances have reported to the leader. Not thread-safe.
+ *
+ * @param hasPredecessor true if another leader may have been told of limits before [startedAt] that this one has yet to hear of
+ */
+internal class ReportedLimits(
+    startedAt: Duration,
+    hasPredecessor: Boolean,
+) {
+    /** Time from which the limits are complete enough to be used. */
+    val completeAt = if (hasPredecessor) startedAt + REPORT_TIME else startedAt
     private val servers = HashMap<ServerIncarnation, LimitEvidence>()
     private var lastSequence = 0L
 
@@ -28,4 +40,9 @@
     fun retain(reports: List<ServerReport>) {
         if (servers.isNotEmpty()) servers.keys.retainAll(reports.map { ServerIncarnation(it.id, it.startedAtMillis) }.toSet())
     }
+
+    private companion object {
+        /** Time in which entry instances that send requests tell a new leader all that they know; some may know only an earlier limit. */
+        val REPORT_TIME = 1.seconds
+    }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
@@ -5,7 +5,7 @@
 import kotlin.time.DurationUnit
 
 /**
- * Token buckets for the requests that the leader sends to servers that have named a limit. A bucket begins empty, since instances that
+ * Token buckets for the requests that the leader sends to servers that have named a limit. A bucket begins empty, or nearly so, since instances that
  * did not know of the limit, or a previous leader, may just have sent what it allows.
  *
  * In any 4 s a bucket grants 4.5 times the limit and one request more. What is granted reaches the server up to 1 s later than planned,
@@ -16,9 +16,8 @@
 ) {
     private class Bucket(
         var updatedAt: Duration,
-    ) {
-        var level = 0.0
-    }
+        var level: Double,
+    )
 
     private val buckets = HashMap<String, Bucket>()
 
@@ -35,8 +34,9 @@
             if (buckets.isNotEmpty()) buckets -= server.id
             return Duration.ZERO
         }
-        val missing = 1 - refilled(server, rate, now).level
-        return if (missing <= ROUNDING) Duration.ZERO else (missing / rate).seconds
+        val bucket = refilled(server, rate, now)
+        val missing = 1 - bucket.level
+        return if (missing <= ROUNDING) Duration.ZERO else bucket.updatedAt - now + (missing / rate).seconds
     }
 
     /** Records that a request is sent to [server]. */
@@ -53,10 +53,13 @@
         rate: Double,
         now: Duration,
     ): Bucket {
-        val bucket = buckets.getOrPut(server.id) { Bucket(now) }
+        val bucket =
+            buckets.getOrPut(server.id) {
+                Bucket(maxOf(now, limits.completeAt), level = (1 - rate * MAX_FIRST_WAIT_SECONDS).coerceAtLeast(0.0))
+            }
         val elapsed = (now - bucket.updatedAt).toDouble(DurationUnit.SECONDS).coerceAtLeast(0.0)
         bucket.level = minOf(1 + rate * BURST_SECONDS, bucket.level + rate * elapsed)
-        bucket.updatedAt = now
+        bucket.updatedAt = maxOf(now, bucket.updatedAt)
         return bucket
     }
 
@@ -69,6 +72,12 @@
         /** Rate at which a server gets requests although its limit is lower, so that the end of the limit is noticed. */
         const val PROBE_RATE = 0.25
 
+        /**
+         * Longest time until the first request. A new leader may be told of a limit that has ended, by instances that have sent nothing to
+         * the server since, and the answer to the first request shows it.
+         */
+        const val MAX_FIRST_WAIT_SECONDS = 1.0
+
         /** Time for which unused requests are kept. */
         const val BURST_SECONDS = 0.5
 
