Grant few requests to a limited server until one that this leader granted is answered

The limit fell from 1e9 to 0.2 while there was no leader; nothing was sent meanwhile, so no instance could know, and the new leader granted by 1e9 until the first answers were reported.

Until a request that it granted with knowledge of a limit is answered, a leader grants at most 4 a second, whatever limit is reported. A server with a high limit gets less for the time of one answer.

--- a/policy/src/main/kotlin/anvilslip/policy/LimitEvidence.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LimitEvidence.kt
@@ -16,6 +16,10 @@
 
     val statements: List<LimitStatement> get() = entries.map { it.statement }
 
+    /** True if a statement has been added whose request was issued at a known position. */
+    var hasOrderedStatement = false
+        private set
+
     /** The limit in requests per second that counts; null if the server names none. */
     val limit: Double? get() = entries.minOfOrNull { it.statement.limit ?: Double.POSITIVE_INFINITY }?.takeIf { it.isFinite() }
 
@@ -25,6 +29,7 @@
         issuedAt: Long,
         learnedAt: Long,
     ) {
+        if (issuedAt > 0) hasOrderedStatement = true
         entries.removeAll { it.learnedAt < issuedAt }
         entries += Entry(statement, learnedAt)
         if (entries.size > MAX_ENTRIES) keepLowest(learnedAt)
--- a/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
@@ -33,6 +33,10 @@
     fun limitOf(server: ServerReport): Double? =
         if (servers.isEmpty()) null else servers[ServerIncarnation(server.id, server.startedAtMillis)]?.limit
 
+    /** True if [server] has named its limit in the answer to a request that this leader granted with knowledge of the limit. */
+    fun isConfirmed(server: ServerReport): Boolean =
+        servers[ServerIncarnation(server.id, server.startedAtMillis)]?.hasOrderedStatement == true
+
     /** Sequence number of a decision to send a request to [server]; null if the server is not limited. */
     fun nextGrant(server: ServerReport): Long? = if (limitOf(server) == null) null else ++lastSequence
 
--- a/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
@@ -22,7 +22,10 @@
     private val buckets = HashMap<String, Bucket>()
 
     /** Requests per second that are sent to [server]; null if it is not limited. */
-    fun rateOf(server: ServerReport): Double? = limits.limitOf(server)?.coerceAtLeast(PROBE_RATE)
+    fun rateOf(server: ServerReport): Double? {
+        val limit = limits.limitOf(server) ?: return null
+        return (if (limits.isConfirmed(server)) limit else minOf(limit, UNCONFIRMED_RATE)).coerceAtLeast(PROBE_RATE)
+    }
 
     /** Time until a request may be sent to [server]; zero if it is not limited. */
     fun waitTime(
@@ -72,6 +75,12 @@
         /** Rate at which a server gets requests although its limit is lower, so that the end of the limit is noticed. */
         const val PROBE_RATE = 0.25
 
+        /**
+         * Highest rate until the first request that this leader granted is answered. The limit may have fallen since it was named, while there
+         * was no leader and nothing was sent.
+         */
+        const val UNCONFIRMED_RATE = 4.0
+
         /**
          * Longest time until the first request. A new leader may be told of a limit that has ended, by instances that have sent nothing to
          * the server since, and the answer to the first request shows it.
