Test that a leader decides with the limits that instances report

A leader that is told of a limit refuses for all instances, and has an instance ask again that has told limits only to a leader of another term. LeaderDispatchSpec passes.

--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -4,10 +4,13 @@
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchOptions
+import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.EngineInventory
 import anvilslip.policy.EngineProfile
 import anvilslip.policy.FencingToken
+import anvilslip.policy.LimitReport
+import anvilslip.policy.LimitStatement
 import anvilslip.policy.LoadedModel
 import anvilslip.policy.ModelProfile
 import anvilslip.policy.RequestEvent
@@ -77,6 +80,31 @@
             }
         }
 
+        describe("a leader that is asked by an instance that knows the limit of a server") {
+            val statement = LimitStatement("a", 1, 0.0)
+
+            fun request(
+                number: Long,
+                limits: LimitReport?,
+            ) = DispatchRequest("e", number, "app", null, 0, "z1", targetMillis = 1000, remainingMillis = 5000, limits = limits)
+
+            fun PeerMessage.decision() = shouldBeInstanceOf<PeerMessage.AdmitReply>().decision
+
+            // Guards against a leader that decides for an instance that has been told of a limit, and does not know the limit itself.
+            it("decides with that knowledge, also for instances that were told nothing") {
+                val leader = leader { clock.time + 1.minutes }
+                for (limits in listOf(LimitReport(null, listOf(statement), 1), LimitReport(3, emptyList(), 1), null)) {
+                    val refusal = leader.admit(request(1, limits)).decision().shouldBeInstanceOf<DispatchDecision.Refuse>()
+                    refusal.reason shouldBe DispatchRefusal.LIMITED
+                }
+            }
+
+            it("has the instance ask again with all limits if it has told some of them only to a leader of another term") {
+                val leader = leader { clock.time + 1.minutes }
+                leader.admit(request(1, LimitReport(2, emptyList(), 1))).decision() shouldBe DispatchDecision.Wait
+            }
+        }
+
         describe("a leader of many busy engines") {
             val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
             val profile = EngineProfile(1, 100_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
