--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -10,6 +10,7 @@
     private val options: DispatchOptions,
     private val coldServers: ColdServers,
     private val coldLimiter: ColdStartLimiter,
+    val reportedLimits: ReportedLimits,
 ) {
     private val serversById = LinkedHashMap<String, DispatchServer>()
     private val performances = HashMap<String, ServicePerformance>()
@@ -18,6 +19,7 @@
     /** Services whose requests wait in an [AdmissionQueue]; kept because each decision asks for every server. */
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
+    private val rateLimiter = ServerRateLimiter(reportedLimits)
     var configuration = ServingConfiguration(-1)
         set(value) {
             field = value
@@ -38,6 +40,8 @@
         now: Duration,
     ) {
         serversById.keys.retainAll(reports.map { it.id }.toSet())
+        reportedLimits.retain(reports)
+        rateLimiter.retain(reports)
         for (report in reports) if (mayBeCold(report.service)) coldServers.observe(report, now)
         for (report in reports) {
             val server = serversById[report.id]
@@ -61,8 +65,12 @@
     }
 
     /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
-    fun capacity(service: String): Double =
-        prefillSpeed(service) * servers.count { it.report.service == service && it.isReady && !isEvacuated(it) }
+    fun capacity(service: String): Double {
+        val usable = servers.filter { it.report.service == service && it.isReady && !isEvacuated(it) }
+        val speed = prefillSpeed(service)
+        if (!hasLimits) return speed * usable.size
+        return usable.sumOf { minOf(speed, (rateLimiter.rateOf(it.report) ?: Double.MAX_VALUE) * MEAN_PROMPT_TOKENS / MILLIS_PER_SECOND) }
+    }
 
     /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
     fun isQueued(service: String): Boolean = service in queuedServices
@@ -95,6 +103,21 @@
 
     private fun serviceOf(server: DispatchServer): BackendService? = configuration.services[server.report.service]
 
+    /** True if some server has named a limit. */
+    val hasLimits: Boolean get() = reportedLimits.hasLimits
+
+    fun isLimited(server: DispatchServer): Boolean = reportedLimits.limitOf(server.report) != null
+
+    /** True if the limit that [server] has named allows too few requests to estimate its speed from their answers. */
+    fun answersSeldom(server: DispatchServer): Boolean =
+        hasLimits && rateLimiter.rateOf(server.report).let { it != null && it < MIN_OBSERVED_RATE }
+
+    /** Time until the limit that [server] has named allows a request; zero if it has named none. */
+    fun limitWait(
+        server: DispatchServer,
+        now: Duration,
+    ): Duration = rateLimiter.waitTime(server.report, now)
+
     /** True if servers of [service] tolerate only few requests while they are cold. */
     fun mayBeCold(service: String): Boolean = (configuration.services[service]?.coldRequestsPerSecond ?: 0.0) > 0
 
@@ -121,6 +144,7 @@
         now: Duration,
     ) {
         if ((serviceOf(server)?.coldRequestsPerSecond ?: 0.0) > 0) coldLimiter.record(server.report.id, at, now)
+        if (hasLimits) rateLimiter.recordSend(server.report, now)
     }
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
@@ -200,5 +224,12 @@
     private companion object {
         /** Cost per running request; spreads plain requests over servers that have free slots. */
         val RUNNING_COST = 5.milliseconds
+
+        /** Prompt tokens of a typical request, which relates the limit of a server in requests to its speed in tokens. */
+        const val MEAN_PROMPT_TOKENS = 1_000
+        const val MILLIS_PER_SECOND = 1_000
+
+        /** Answers per second below which a few that are reported late, by instances that were frozen, would decide the estimate. */
+        const val MIN_OBSERVED_RATE = 5.0
     }
 }
