Report the limits of engines in the dispatch trial

The dispatcher can be told of limits now, so that the trial reports what the answer of an engine says, with the decision by which the request was sent.

--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
@@ -8,6 +8,8 @@
 import anvilslip.policy.Dispatcher
 import anvilslip.policy.EngineInventory
 import anvilslip.policy.EngineProfile
+import anvilslip.policy.LimitGrant
+import anvilslip.policy.LimitStatement
 import anvilslip.policy.LoadOrder
 import anvilslip.policy.LoadedModel
 import anvilslip.policy.ModelProfile
@@ -228,7 +230,7 @@
                 val predicted = dispatcher.expectedAnswer(decision.server, attempt.request.promptTokens, hold, now)
                 val sendAt = now + hold + NETWORK_DELAY
                 time.at(sendAt) {
-                    sendToEngine(attempt, decision.server) {
+                    sendToEngine(attempt, decision) {
                         recordPrediction(
                             checkNotNull(predicted),
                             time.now + NETWORK_DELAY - now,
@@ -270,10 +272,11 @@
 
     private fun sendToEngine(
         attempt: Attempt,
-        server: String,
+        decision: DispatchDecision.Send,
         onFirstToken: () -> Unit,
     ) {
         val request = attempt.request
+        val server = decision.server
         val engine = byName.getValue(server)
         if (engine.model.limit != null) limitCheck.recordArrival(server, time.now)
 
@@ -290,6 +293,7 @@
                 outputTokens = request.outputTokens,
                 onFirstToken = {
                     onFirstToken()
+                    reportLimit(engine, decision)
                     recordStep(RequestStep.ANSWERING)
                     clients.recordAnswer(request, time.now + NETWORK_DELAY)
                 },
@@ -303,6 +307,16 @@
         if (retry.exclude.size < MAX_ATTEMPTS) time.at(time.now + NETWORK_DELAY * 3) { admit(retry) }
     }
 
+    /** Reports what the answer of [engine] to the request that was sent by [decision] says about its limit. */
+    private fun reportLimit(
+        engine: Engine,
+        decision: DispatchDecision.Send,
+    ) {
+        val grant = decision.limitSequence?.let { LimitGrant(TERM, it) }
+        val statement = LimitStatement(engine.model.name, engine.startedAtMillis, engine.model.limit, grant)
+        time.at(time.now + NETWORK_DELAY * 2) { dispatcher.recordLimits(listOf(statement), TERM) }
+    }
+
     private fun recordPrediction(
         predicted: Duration,
         actual: Duration,
@@ -315,6 +329,7 @@
         const val ENGINE_SEEDS = 1_000
         const val ENTRY = "entry"
         const val SERVICE = "llm"
+        const val TERM = 1L
         const val MODEL = "m"
         const val MAX_ATTEMPTS = 3
 
