Count what a server got right before its limit was known

Servers are judged by windows of 4 s that begin before they named their limit. At twice the rate before, the bound is broken whatever the bucket does at first.

One map look-up and one count more for each request that is sent.

--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -144,7 +144,7 @@
         now: Duration,
     ) {
         if ((serviceOf(server)?.coldRequestsPerSecond ?: 0.0) > 0) coldLimiter.record(server.report.id, at, now)
-        if (hasLimits) rateLimiter.recordSend(server.report, now)
+        rateLimiter.recordSend(server.report, now)
     }
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
--- a/policy/src/test/kotlin/anvilslip/policy/LimitedServersSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/LimitedServersSpec.kt
@@ -75,14 +75,15 @@
                 adapter: String? = null,
             ) = decision(admit(service, adapter)).shouldBeInstanceOf<DispatchDecision.Refuse>()
 
-            /** Requests that are sent within [seconds] if one is asked for every 10 ms. */
+            /** Requests that are sent within [seconds] if one is asked for every 10 ms, or whenever [isAsked]. */
             fun sentWithin(
                 seconds: Int,
                 service: String = "app",
+                isAsked: () -> Boolean = { true },
             ): Int =
                 (1..seconds * 100).count {
                     now += 10.milliseconds
-                    send(service) != null
+                    isAsked() && send(service) != null
                 }
         }
 
@@ -120,6 +121,17 @@
                 leader.send()?.server shouldBe "s"
             }
 
+            // Guards against a window of four seconds that is exceeded by what was sent before the limit was known.
+            it("gets nothing for a while if it had got more than the limit allows") {
+                val leader = Leader(server("s"))
+                val before = leader.sentWithin(1, isAsked = { leader.now.inWholeMilliseconds % 100 == 0L })
+                before shouldBe 10
+                leader.limit("s", 1.2)
+                val after = leader.sentWithin(3)
+                (before + after) shouldBeInRange 10..12
+                leader.sentWithin(4) shouldBeInRange 4..5
+            }
+
             // Guards against a new leader that grants by an earlier limit, before an instance that knows the present one has reported it.
             it("gets nothing from a new leader before the instances had time to report, and what the limit allows since") {
                 val leader = Leader(server("s"), hasPredecessor = true).apply { limit("s", 1e9) }
