Count the time in which the body of a request arrives towards its timeout

The timeout of the route and the deadline of the client began when the last byte of the body had arrived. A client whose body took 1.2 s to arrive on a route with a timeout of 2 s got its answer after 3.2 s, and the server was told that the whole time was left. Callers saw requests that last longer than the timeout of their route without a final answer.

Before: FinalAnswerSpec "is answered in time if its body took a while to arrive", "2.004213980s should be < 1.6s" after the body, and "passes on no more time than is left after its body has arrived", "3 should be > 800".

The connection measures the time from the headers to the last byte, and the forwarder counts it as waited: for the timeout, the target and the time that is passed on. A body that has not arrived within HeaderTimeoutMs still ends its connection, as before.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -31,6 +31,8 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 /** Server side of one connection: collects a request, passes it to [handler], and reads the next one after the response. */
 internal class HttpConnection(
@@ -42,6 +44,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private var requestHead: HttpRequest? = null
     private var body: RequestBody? = null
+    private var headReceivedAt: TimeMark = TimeSource.Monotonic.markNow()
     private val pending = ArrayDeque<Any>()
     private var handlerJob: Job? = null
     private var requestInProgress = false
@@ -151,6 +154,7 @@
         val isExpected = HttpUtil.is100ContinueExpected(request)
         if (!next.reserve(HttpUtil.getContentLength(request, 0L).toInt())) return refuse(ctx, request, isBodyComing = !isExpected)
         requestHead = request
+        headReceivedAt = TimeSource.Monotonic.markNow()
         body = next
         if (isExpected) ctx.writeAndFlush(CONTINUE.retainedDuplicate())
     }
@@ -198,6 +202,7 @@
                     headersOf(request),
                     received.complete(),
                     request.uri(),
+                    headReceivedAt.elapsedNow(),
                 )
             } catch (e: IllegalArgumentException) {
                 reject(ctx, request, malformedError(e))
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServerRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServerRequest.kt
@@ -1,5 +1,7 @@
 package anvilslip.entry.http
 
+import kotlin.time.Duration
+
 /** A complete request as received. Header names are lower case; a repeated header has several values. */
 public class HttpServerRequest(
     public val method: String,
@@ -9,6 +11,8 @@
     public val body: ByteArray,
     /** Path and query as received. */
     public val target: String = path,
+    /** Time from the arrival of the headers to that of the last byte of the body. */
+    public val receiveTime: Duration = Duration.ZERO,
 ) {
     /** The first value of a header, or null. */
     public fun header(name: String): String? = headers[name]?.firstOrNull()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -50,7 +50,8 @@
         call: HttpServerRequest,
         responder: HttpResponder,
     ) {
-        val startedAt = clock.elapsed()
+        // The client has waited since it sent the headers, also while its body arrived.
+        val startedAt = clock.elapsed() - call.receiveTime
         val request = dialect.decode(call)
         val configuration = clusterView.active.configuration
         if (isRejecting) return deny(request, responder, UNAVAILABLE, "stopping", STOPPING_RETRY_AFTER)
