Hand out a configuration only once a leader has confirmed the state

Callers: an entry instance that starts while a control instance restarts could become ready with an older configuration: withdrawn keys valid again, added routes unknown (404).

Cause: Replica published the state that it recovers, up to 64 entries old, before it had heard of any leader. ClusterView took it, and an instance without a document takes it from whichever control instance answers first.

A replica now announces its state once it is current (ReplicaCore.isCurrent): it has led with a committed entry of its own term, or applied such an entry and all that its leader said was committed. Until then the control instance has no document, versions, evacuations or quarantines to hand out, unless another control instance gave them. The state is announced before the view, so that an instance that leads knows the configuration that it leads with. The warm-up still runs only where no configuration is stored, confirmed or not.

Weighed: a read of the leader by each entry instance (not possible without one, and a call to one instance at each start); the lease in the messages of the leader (a change of the format, for a window that already ends when a leader without majority steps down, 600 ms). An entry instance that reaches only control instances that were current before a cut takes their document: it is in the position of those that were already running there, and waiting would leave it without service.

Remains: a message that was queued before the restart and arrives after it can confirm an older state until the next heartbeat. Read, not seen.

--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -115,7 +115,7 @@
     /**
      * Applies [document] if it is newer than the active one and can be parsed.
      *
-     * @param source where the document comes from: the host of a control instance, [LOG_SOURCE] or [SNAPSHOT_SOURCE]
+     * @param source where the document comes from: the host of a control instance, or [LOG_SOURCE]
      */
     public fun applyDocument(
         document: ConfigurationDocument,
@@ -324,9 +324,6 @@
         /** Source of a document that this instance has applied from the replicated log. */
         public const val LOG_SOURCE: String = "log"
 
-        /** Source of a document that this instance has recovered at its start, before it has heard of a leader. */
-        public const val SNAPSHOT_SOURCE: String = "snapshot"
-
         /** Consecutive heartbeats that may be lost before a server is considered down. */
         private const val MISSED_HEARTBEATS = 3
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
@@ -36,13 +36,15 @@
 internal class DispatchWarmUp(
     private val clusterView: ClusterView,
     private val options: DispatchOptions,
+    /** Whether a configuration is stored on this instance, confirmed or not. */
+    private val hasStoredConfiguration: () -> Boolean = { false },
 ) : Service {
     override val name: String = "dispatch-warm-up"
     private val log = EventLogger("warm-up")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
 
     override suspend fun start() {
-        if (clusterView.active.configuration != null) return
+        if (hasStoredConfiguration()) return
         scope.launchSupervised("dispatch-warm-up") { run() }
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -186,7 +186,7 @@
                     AdmissionMetrics(metrics),
                 ),
             )
-        kernel.install(DispatchWarmUp(clusterView, options))
+        kernel.install(DispatchWarmUp(clusterView, options) { replica.view.state.document != null })
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
@@ -218,8 +218,7 @@
                     // Before the document, with which entry instances that have just started become ready.
                     restoreQuarantines(state)
                     clusterView.applyEvacuations(ClusterView.Evacuations(state.evacuations, state.evacuationRevision))
-                    val source = if (replica.view.leader == null) ClusterView.SNAPSHOT_SOURCE else ClusterView.LOG_SOURCE
-                    state.document?.let { clusterView.applyDocument(it, source) }
+                    state.document?.let { clusterView.applyDocument(it, ClusterView.LOG_SOURCE) }
                     clusterView.applyVersions(state.namedVersions, state.namedRevision)
                 },
                 onLeaderChange = { leader, term -> clusterView.observeLeader(leader.instance, term) },
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -36,7 +36,10 @@
     private val options: ReplicaOptions = ReplicaOptions(),
     private val random: Random = Random.Default,
     private val mayBootstrap: Boolean = true,
-    /** Called on the replica's thread with each new replicated state. */
+    /**
+     * Called on the replica's thread with each new replicated state, from the first one after a start that is known to include everything
+     * that was committed before ([ReplicaCore.isCurrent]).
+     */
     private val onStateChange: (ReplicatedState) -> Unit = {},
     /** Called on the replica's thread with each new leader and its term. */
     private val onLeaderChange: (leader: ReplicaId, term: Long) -> Unit = { _, _ -> },
@@ -77,6 +80,9 @@
     private val inputs = SizedQueue<Input>(QUEUE_LENGTH, QUEUE_BYTES) { it.contentBytes }
     private val pendingProposals = HashMap<Long, PendingProposal>()
     private lateinit var core: ReplicaCore
+
+    /** The state with which [onStateChange] was last called. */
+    private var announcedState: ReplicatedState? = null
     private lateinit var scope: CoroutineScope
 
     /** The latest view of the replica; updated at least once per tick. */
@@ -169,6 +175,7 @@
 
     private fun open() {
         val recovered = storage.recover()
+        announcedState = null
         core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed(), mayBootstrap)
         publishView()
         log.info(
@@ -241,6 +248,8 @@
 
     private fun publishView() {
         val before = view
+        // Before the view, so that whoever sees this replica lead knows the state that it leads with.
+        if (core.isCurrent) announceState()
         view =
             ReplicaView(
                 core.id,
@@ -254,11 +263,21 @@
                 core.leaseUntil,
                 core.acknowledgedBy,
             )
-        if (core.state !== before.state) onStateChange(core.state)
         val leader = view.leader
         if (leader != null && (leader != before.leader || view.term != before.term)) onLeaderChange(leader, view.term)
     }
 
+    private fun announceState() {
+        val state = core.state
+        if (state === announcedState) return
+        if (announcedState == null) logCurrent(state)
+        announcedState = state
+        onStateChange(state)
+    }
+
+    private fun logCurrent(state: ReplicatedState) =
+        log.info("replica_current", "index" to core.commitIndex, "term" to core.term, "document" to state.document?.version)
+
     private fun notLeader() = ProposeError.NotLeader(view.leader?.instance)
 
     public companion object {
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -37,6 +37,14 @@
     public var leader: ReplicaId? = null
         private set
 
+    /**
+     * True once the state includes everything that was committed when this replica started: it has led with a committed entry of its own
+     * term, or has applied such an entry of another leader and all that this leader said was committed. The state that a replica recovers
+     * may be older, since it does not know which entries after its snapshot are committed.
+     */
+    public var isCurrent: Boolean = false
+        private set
+
     private var voters: Set<ReplicaId> = log.latestVoters()
     private var lastLeaderContact = now
     private val electionTimer = ElectionTimer(options.electionTimeout, random, now)
@@ -387,6 +395,7 @@
         appendReceived(append.entries)
         val matchIndex = append.previousIndex + append.entries.size
         commitUpTo(minOf(append.commit, matchIndex))
+        if (commitIndex >= append.commit) recordIfCurrent()
         send(from, ReplicaMessage.AppendReply(term, true, matchIndex, append.round))
     }
 
@@ -466,6 +475,7 @@
         val majorityIndex = followers.majorityIndex(voters, log.lastIndex)
         if (majorityIndex > commitIndex && log.termAt(majorityIndex) == term) {
             commitUpTo(majorityIndex)
+            recordIfCurrent()
             if (id !in voters) stepDown(term, null) else removeFormerVoters()
             if (role == ReplicaRole.LEADER) changeVotersIfNeeded(now)
         }
@@ -481,6 +491,11 @@
         if (entries.isNotEmpty()) output = output.copy(applied = output.applied + entries)
     }
 
+    /** Entries of earlier terms are known to be committed only once an entry of the leader's own term is. */
+    private fun recordIfCurrent() {
+        if (log.termAt(commitIndex) == term) isCurrent = true
+    }
+
     private fun onJoin(
         from: ReplicaId,
         now: Duration,
