Let a scripted server that closes stop accepting before it closes its connections

Trace: `server_checked server=s0 refused=false` 1 ms after the server had closed its connection: while a thread is in accept(), closing the socket leaves the port open until that call returns, so that the check found the crashed server alive and did not count the crash. The server now waits for that thread.

--- a/gateway/src/test/kotlin/anvilslip/gateway/ScriptedServer.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ScriptedServer.kt
@@ -32,9 +32,7 @@
 
     val address: String get() = "127.0.0.1:${socket.localPort}"
 
-    init {
-        if (acceptsConnections) thread(isDaemon = true) { acceptAll() }
-    }
+    private val acceptor = if (acceptsConnections) thread(isDaemon = true) { acceptAll() } else null
 
     private fun connectOnce(): SocketChannel =
         SocketChannel.open().apply {
@@ -71,6 +69,8 @@
 
     override fun close() {
         socket.close()
+        // The port takes connections until the call that accepts them has returned.
+        acceptor?.join()
         connections.forEach { it.close() }
         queued.forEach { it.close() }
     }
