Confirm the read in ConfigurationReadSpec only once it waits

Beside a load average of about 25 the spec failed once, "nothing was dispatched": the log shows configuration_read at once, so the replica had confirmed the read before the reader waited for it, and nothing was left to hold back. The spec now lets the storage write only after the reader has begun to wait. What it expects is unchanged.

--- a/gateway/src/test/kotlin/anvilslip/gateway/ConfigurationReadSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ConfigurationReadSpec.kt
@@ -24,6 +24,8 @@
 import kotlinx.coroutines.withTimeout
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import kotlin.coroutines.CoroutineContext
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -41,10 +43,14 @@
             @Volatile
             var isFailing = false
 
-            override fun store(output: ReplicaOutput) {
-                check(!isFailing) { "no space left" }
-                storage.store(output)
-            }
+            /** Held by a test while nothing is to be written. */
+            val lock = ReentrantLock()
+
+            override fun store(output: ReplicaOutput): Unit =
+                lock.withLock {
+                    check(!isFailing) { "no space left" }
+                    storage.store(output)
+                }
         }
 
         /** Runs what is dispatched to it only when the test says so. */
@@ -103,7 +109,8 @@
                 propose(replica, ConfigurationDocument(2, "text"))
                 val dispatcher = HeldDispatcher()
                 val read = CoroutineScope(dispatcher).async { operations(replica).readOnLeader() }
-                dispatcher.take().run()
+                // The read is not confirmed before it waits for that.
+                storage.lock.withLock { dispatcher.take().run() }
                 val afterConfirmation = dispatcher.take()
                 storage.isFailing = true
                 replica.propose(Command.ReadBarrier)
