Answer with the state of the replica while it led

Callers of the product's own interface: an instance whose poll met a failing storage at the leader took revision 0 and an empty list of suspects for the newest state. It counted as up to date, and sent quarantined requests again until its next poll.

Cause: LeaderService checked that it leads and then read the view of the replica again, which is empty once the storage has failed. It now looks at the view once for each message or tick and keeps its state in LeaderState.

LeaderAnswerSpec before: expected:<1L> but was:<0L>. After: it passes, as do LeaderServiceSpec and ControlServiceSpec.

--- a/control/src/main/kotlin/anvilslip/control/LeaderService.kt
+++ b/control/src/main/kotlin/anvilslip/control/LeaderService.kt
@@ -19,6 +19,7 @@
 import anvilslip.state.BucketCheckpoint
 import anvilslip.state.Command
 import anvilslip.state.Replica
+import anvilslip.state.ReplicaView
 import anvilslip.wire.PeerMessage
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -92,16 +93,24 @@
 
     /** Returns the state of the current term, or null when this instance does not lead or its leader lease has expired. */
     private fun currentState(): LeaderState? {
-        if (!replica.isLeading) return null
         val view = replica.view
-        val current = active
-        if (current != null && current.term == view.term) return current
+        val now = clock.elapsed()
+        if (!view.isLeading(now)) return null
+        val leader = active?.takeIf { it.term == view.term } ?: beginTerm(view, now)
+        leader.state = view.state
+        return leader
+    }
+
+    private fun beginTerm(
+        view: ReplicaView,
+        now: Duration,
+    ): LeaderState {
         endTerm()
         timeline.record(EventKind.LEADER_ELECTED, fields = mapOf("term" to view.term.toString()))
-        return LeaderState(view.term, view.state, options, clock.elapsed()).also {
-            active = it
-            it.buckets.updateLimits(view.state.configuration.workspaces, clock.elapsed())
-        }
+        val leader = LeaderState(view.term, view.state, options, now)
+        leader.buckets.updateLimits(view.state.configuration.workspaces, now)
+        active = leader
+        return leader
     }
 
     private fun endTerm() {
@@ -122,7 +131,7 @@
         for (lost in leader.removeSilentBackends(now)) {
             timeline.record(EventKind.BACKEND_LOST, cause = "silent", fields = mapOf("server" to lost.server))
         }
-        val configuration = replica.view.state.configuration
+        val configuration = leader.state.configuration
         leader.buckets.updateLimits(configuration.workspaces, now)
         leader.refreshView(configuration.draining.keys)
         applyOutput(leader, leader.placement.tick(now))
@@ -137,7 +146,7 @@
         val record = InstanceRecord(poll.instance, poll.incarnation, poll.revision, now)
         if (leader.recordInstance(record)) {
             timeline.record(EventKind.INSTANCE_JOINED, fields = mapOf("joined" to poll.instance.name, "zone" to poll.instance.zone))
-            leader.refreshView(replica.view.state.configuration.draining.keys)
+            leader.refreshView(leader.state.configuration.draining.keys)
         }
         if (poll.viewTerm == leader.term) applyOutput(leader, leader.placement.renewLeases(poll.instance.name, poll.uses, now))
         leader.buckets.applyUsage(poll.incarnation, poll.usage, now)
@@ -149,7 +158,7 @@
         leader: LeaderState,
         poll: PeerMessage.Poll,
     ): PeerMessage.PollReply {
-        val state = replica.view.state
+        val state = leader.state
         val revision = state.configuration.revision
         val missing = (poll.revision + 1..revision).map { state.recentChanges[it] }
         val isComplete = missing.size <= MAX_CHANGES_PER_REPLY && missing.none { it == null }
@@ -180,7 +189,7 @@
         verifyCrashes(announcement, now)
         if (announcement.kind == BackendKind.MODEL) applyOutput(leader, leader.placement.applyAnnouncement(announcement, now))
         if (previous == null || previous.leaving != announcement.leaving || previous.incarnation != announcement.incarnation) {
-            leader.refreshView(replica.view.state.configuration.draining.keys)
+            leader.refreshView(leader.state.configuration.draining.keys)
         }
         return PeerMessage.Ack
     }
@@ -290,7 +299,7 @@
         leader: LeaderState,
         request: PeerMessage.GrantRequest,
     ): PeerMessage {
-        leader.buckets.updateLimits(replica.view.state.configuration.workspaces, clock.elapsed())
+        leader.buckets.updateLimits(leader.state.configuration.workspaces, clock.elapsed())
         var grant = grant(leader, request) ?: return PeerMessage.Failed("no workspace '${request.workspace}'")
         val bucket = leader.buckets[request.workspace]
         if (grant.tokens < request.needed && bucket != null && bucket.needsCheckpoint(request.needed)) {
--- a/control/src/main/kotlin/anvilslip/control/LeaderState.kt
+++ b/control/src/main/kotlin/anvilslip/control/LeaderState.kt
@@ -12,7 +12,8 @@
 /** State that a leader keeps in memory for one term. Confined to a single thread. */
 internal class LeaderState(
     val term: Long,
-    state: ReplicatedState,
+    /** The replicated state while this instance led last; that of the replica may be empty or older once it does not. */
+    var state: ReplicatedState,
     options: PlacementOptions,
     now: Duration,
 ) {
