--- a/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
@@ -8,8 +8,8 @@
  * Token buckets for the requests that the leader sends to servers that have named a limit. A bucket begins empty, or nearly so, since instances that
  * did not know of the limit, or a previous leader, may just have sent what it allows.
  *
- * What was sent to the server right before its limit became known counts as well: if it was more than the limit allows, nothing is sent until
- * that has passed.
+ * What was sent to the server right
+ * before its limit became known counts as well: if it was more than the limit allows, nothing is sent until that has passed.
  *
  * In any 4 s a bucket grants 4.5 times the limit and one request more. What is granted reaches the server up to 1 s later than planned,
  * so that it gets at most 5.5 times the limit and one request in 4 s.
@@ -104,8 +104,8 @@
         const val MAX_FIRST_WAIT_SECONDS = 1.0
 
         /**
-         * Requests and seconds of the limit that may have been sent within [RecentSends.WINDOW] before the limit is known. A server gets at most
-         * 6 times its limit and 5 requests in 4 s, of which 3.5 times the limit and one request are left for the rest of that time.
+         * Requests and seconds of the limit that may have been sent within [RecentSends.WINDOW] before the limit is known. A server gets
+         * at most 6 times its limit and 5 requests in 4 s, of which 3.5 times the limit and one request are left for the rest of that time.
          */
         const val RECENT_REQUESTS = 4
         const val RECENT_SECONDS = 2.5
