--- a/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
@@ -5,10 +5,8 @@
 import kotlin.time.DurationUnit
 
 /**
- * Token buckets for the requests that the leader sends to servers that have named a limit. A bucket begins empty, or nearly so, since instances that
- * did not know of the limit, or a previous leader, may just have sent what it allows.
- *
- * What was sent to the server right
+ * Token buckets for the requests that the leader sends to servers that have named a limit. A bucket begins empty, or nearly so, since
+ * instances that did not know of the limit, or a previous leader, may just have sent what it allows. What was sent to the server right
  * before its limit became known counts as well: if it was more than the limit allows, nothing is sent until that has passed.
  *
  * In any 4 s a bucket grants 4.5 times the limit and one request more. What is granted reaches the server up to 1 s later than planned,
