Join pieces that the work on limits and replicas wrote twice

Found on re-reading the change; behaviour and assertions stay as they are.

- The process of a server's report was put together in four places: ServerReport.incarnation.
- Two constants for the tokens of a typical request, and two for the name of the identity file, are one each.
- The IDs of all servers were collected twice at each update of the fleet, and each request for admission was copied though no limit was to be told.
- CallOnlyLinks and AcceptingLoader replace identical stubs of two specs each.

--- a/control/src/test/kotlin/anvilslip/control/LeaderAnswerSpec.kt
+++ b/control/src/test/kotlin/anvilslip/control/LeaderAnswerSpec.kt
@@ -4,9 +4,7 @@
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.SystemClock
 import anvilslip.kernel.Timeline
-import anvilslip.policy.Announcement
 import anvilslip.policy.InstanceView
-import anvilslip.policy.Order
 import anvilslip.policy.PlacementOptions
 import anvilslip.state.Change
 import anvilslip.state.Command
@@ -60,21 +58,12 @@
             }
         }
 
-        val loader =
-            object : AdapterLoader {
-                override suspend fun load(
-                    server: Announcement,
-                    order: Order.Load,
-                    fencingToken: Long,
-                ): Boolean = true
-            }
-
         describe("the answer to a poll during which the storage of the leader fails") {
             it("contains the state that the leader had when the poll arrived") {
                 val storage = FailingStorage(FileStorage(tempdir().toPath()))
                 val replica = Replica("a", setOf("a"), storage, { _, _ -> }, SystemClock)
                 val clock = InterruptingClock()
-                val leader = LeaderService(replica, loader, PlacementOptions(), clock, Timeline("a", HybridClock(SystemClock)))
+                val leader = LeaderService(replica, AcceptingLoader, PlacementOptions(), clock, Timeline("a", HybridClock(SystemClock)))
                 replica.start()
                 try {
                     val change = Command.Configure(Change.PutWorkspace(Workspace("w", 1.0, 10)), "id")
--- a/control/src/test/kotlin/anvilslip/control/LeaderServiceSpec.kt
+++ b/control/src/test/kotlin/anvilslip/control/LeaderServiceSpec.kt
@@ -4,8 +4,6 @@
 import anvilslip.kernel.HybridClock
 import anvilslip.kernel.SystemClock
 import anvilslip.kernel.Timeline
-import anvilslip.policy.Announcement
-import anvilslip.policy.Order
 import anvilslip.policy.PlacementOptions
 import anvilslip.state.FileStorage
 import anvilslip.state.Replica
@@ -32,21 +30,12 @@
             }
         }
 
-        val loader =
-            object : AdapterLoader {
-                override suspend fun load(
-                    server: Announcement,
-                    order: Order.Load,
-                    fencingToken: Long,
-                ): Boolean = true
-            }
-
         describe("the ticks of a leader") {
             // Guards against a leader that keeps its lease but neither expires anything nor places adapters any more.
             it("go on after an error") {
                 val replica = Replica("a", setOf("a"), FileStorage(tempdir().toPath()), { _, _ -> }, SystemClock)
                 val clock = FailingClock()
-                val leader = LeaderService(replica, loader, PlacementOptions(), clock, Timeline("a", HybridClock(SystemClock)))
+                val leader = LeaderService(replica, AcceptingLoader, PlacementOptions(), clock, Timeline("a", HybridClock(SystemClock)))
                 replica.start()
                 leader.start()
                 withTimeoutOrNull(10.seconds) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -94,7 +94,20 @@
         var leader = knownLeader
         for (attempt in 1..MAX_ATTEMPTS) {
             val limits = clusterView.serverLimits.report()
-            val result = peers.call(leader, PeerMessage.Admit(request.copy(limits = limits)), ANSWER_TIMEOUT)
+            val result =
+                peers.call(
+                    leader,
+                    PeerMessage.Admit(
+                        if (limits ==
+                            null
+                        ) {
+                            request
+                        } else {
+                            request.copy(limits = limits)
+                        },
+                    ),
+                    ANSWER_TIMEOUT,
+                )
             val reply = result.getOrNull()
             if (limits != null && reply is PeerMessage.AdmitReply) clusterView.serverLimits.acknowledge(limits, reply.term)
             if (reply is PeerMessage.AdmitReply) return recordReply(request, reply)
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -9,7 +9,6 @@
 import anvilslip.policy.EntryHosts
 import anvilslip.policy.FleetTable
 import anvilslip.policy.ReportVersion
-import anvilslip.policy.ServerIncarnation
 import anvilslip.policy.ServerLimits
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
@@ -274,7 +273,7 @@
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
 
     /** True if [server] has named a limit in its answers to this instance. */
-    public fun isLimited(server: ServerReport): Boolean = serverLimits.limitOf(ServerIncarnation(server.id, server.startedAtMillis)) != null
+    public fun isLimited(server: ServerReport): Boolean = serverLimits.limitOf(server.incarnation) != null
 
     /** True if [server] is cold and tolerates only few requests. */
     public fun isCold(server: ServerReport): Boolean =
--- a/gateway/src/test/kotlin/anvilslip/gateway/DocumentDeliverySpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/DocumentDeliverySpec.kt
@@ -9,9 +9,7 @@
 import anvilslip.state.ReplicaId
 import anvilslip.state.ReplicaView
 import anvilslip.wire.DocumentDelivery
-import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerError
-import anvilslip.wire.PeerLinks
 import anvilslip.wire.PeerMessage
 import arrow.core.Either
 import arrow.core.left
@@ -124,25 +122,13 @@
             private val cluster: Cluster,
             scope: TestScope,
             index: Int,
-        ) : PeerLinks {
+        ) : CallOnlyLinks {
             val self = EntryInstance("e$index", "e$index:80", "z${index % ZONES}", "r", ready = true)
             val view = cluster.newView()
             val watch =
                 WatchService(this, view, self.host, 1, VirtualClock(scope), StandardTestDispatcher(scope.testScheduler)) { self }
             val version: Long get() = view.active.document?.version ?: -1
 
-            override fun connectTo(
-                peer: String,
-                address: PeerAddress,
-            ) = Unit
-
-            override fun disconnect(peer: String) = Unit
-
-            override fun send(
-                peer: String,
-                message: PeerMessage,
-            ) = Unit
-
             override suspend fun call(
                 peer: String,
                 message: PeerMessage,
--- a/gateway/src/test/kotlin/anvilslip/gateway/DocumentScheduleSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/DocumentScheduleSpec.kt
@@ -5,9 +5,7 @@
 import anvilslip.state.ConfigurationDocument
 import anvilslip.state.ReplicaId
 import anvilslip.state.ReplicaView
-import anvilslip.wire.PeerAddress
 import anvilslip.wire.PeerError
-import anvilslip.wire.PeerLinks
 import anvilslip.wire.PeerMessage
 import arrow.core.Either
 import arrow.core.left
@@ -41,7 +39,7 @@
         class Run(
             private val seed: Long,
             private val scope: TestScope,
-        ) : PeerLinks {
+        ) : CallOnlyLinks {
             inner class Control(
                 index: Int,
             ) {
@@ -181,18 +179,6 @@
                 }
             }
 
-            override fun connectTo(
-                peer: String,
-                address: PeerAddress,
-            ) = Unit
-
-            override fun disconnect(peer: String) = Unit
-
-            override fun send(
-                peer: String,
-                message: PeerMessage,
-            ) = Unit
-
             override suspend fun call(
                 peer: String,
                 message: PeerMessage,
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -39,9 +39,10 @@
         reports: List<ServerReport>,
         now: Duration,
     ) {
-        serversById.keys.retainAll(reports.map { it.id }.toSet())
+        val ids = reports.mapTo(HashSet()) { it.id }
+        serversById.keys.retainAll(ids)
         reportedLimits.retain(reports)
-        rateLimiter.retain(reports)
+        rateLimiter.retain(ids)
         for (report in reports) if (mayBeCold(report.service)) coldServers.observe(report, now)
         for (report in reports) {
             val server = serversById[report.id]
@@ -69,7 +70,7 @@
         val usable = servers.filter { it.report.service == service && it.isReady && !isEvacuated(it) }
         val speed = prefillSpeed(service)
         if (!hasLimits) return speed * usable.size
-        return usable.sumOf { minOf(speed, (rateLimiter.rateOf(it.report) ?: Double.MAX_VALUE) * MEAN_PROMPT_TOKENS / MILLIS_PER_SECOND) }
+        return usable.sumOf { minOf(speed, (rateLimiter.rateOf(it.report) ?: Double.MAX_VALUE) * MEAN_TOKENS / MILLIS_PER_SECOND) }
     }
 
     /** True if requests for [service] wait in an [AdmissionQueue] until their deadline. */
@@ -221,15 +222,15 @@
             wait > prefillTime
     }
 
-    private companion object {
-        /** Cost per running request; spreads plain requests over servers that have free slots. */
-        val RUNNING_COST = 5.milliseconds
+    companion object {
+        /** Tokens of a typical request, which relates limits in requests to limits and speeds in tokens. */
+        const val MEAN_TOKENS = 1_000L
+        private const val MILLIS_PER_SECOND = 1_000
 
-        /** Prompt tokens of a typical request, which relates the limit of a server in requests to its speed in tokens. */
-        const val MEAN_PROMPT_TOKENS = 1_000
-        const val MILLIS_PER_SECOND = 1_000
+        /** Cost per running request; spreads plain requests over servers that have free slots. */
+        private val RUNNING_COST = 5.milliseconds
 
         /** Answers per second below which a few that are reported late, by instances that were frozen, would decide the estimate. */
-        const val MIN_OBSERVED_RATE = 5.0
+        private const val MIN_OBSERVED_RATE = 5.0
     }
 }
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -44,7 +44,10 @@
         if (next.version == fleet.configuration.version) return
         fleet.configuration = next
         weights =
-            next.workspaces.filter { it.ratePerSecond > 0 }.associate { it.name to it.ratePerSecond * it.charge(MEAN_TOKENS) / MEAN_TOKENS }
+            next.workspaces.filter { it.ratePerSecond > 0 }.associate {
+                it.name to
+                    it.ratePerSecond * it.charge(DispatchFleet.MEAN_TOKENS) / DispatchFleet.MEAN_TOKENS
+            }
         meanWeight = weights.values.average().takeIf { weights.isNotEmpty() } ?: 1.0
         limits.configure(next.workspaces, now)
     }
@@ -389,8 +392,6 @@
     }
 
     private companion object {
-        /** Tokens of a typical request, which relates limits in requests to limits in tokens. */
-        const val MEAN_TOKENS = 1_000L
         val NO_SERVER_RETRY = 500.milliseconds
         val NO_SHARE_RETRY = 500.milliseconds
         val MODEL_RETRY = 500.milliseconds
--- a/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ReportedLimits.kt
@@ -30,19 +30,17 @@
     }
 
     /** The limit of [server] in requests per second; null if none is known. */
-    fun limitOf(server: ServerReport): Double? =
-        if (servers.isEmpty()) null else servers[ServerIncarnation(server.id, server.startedAtMillis)]?.limit
+    fun limitOf(server: ServerReport): Double? = if (servers.isEmpty()) null else servers[server.incarnation]?.limit
 
     /** True if [server] has named its limit in the answer to a request that this leader granted with knowledge of the limit. */
-    fun isConfirmed(server: ServerReport): Boolean =
-        servers[ServerIncarnation(server.id, server.startedAtMillis)]?.hasOrderedStatement == true
+    fun isConfirmed(server: ServerReport): Boolean = servers[server.incarnation]?.hasOrderedStatement == true
 
     /** Sequence number of a decision to send a request to [server]; null if the server is not limited. */
     fun nextGrant(server: ServerReport): Long? = if (limitOf(server) == null) null else ++lastSequence
 
     /** Forgets the limits of servers that are not in [reports]. */
     fun retain(reports: List<ServerReport>) {
-        if (servers.isNotEmpty()) servers.keys.retainAll(reports.map { ServerIncarnation(it.id, it.startedAtMillis) }.toSet())
+        if (servers.isNotEmpty()) servers.keys.retainAll(reports.map { it.incarnation }.toSet())
     }
 
     private companion object {
--- a/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerRateLimiter.kt
@@ -78,9 +78,8 @@
         return level - excess.coerceIn(0.0, rate * MAX_EXCESS_SECONDS)
     }
 
-    /** Forgets the buckets of servers that are not in [reports]. */
-    fun retain(reports: List<ServerReport>) {
-        val ids = reports.mapTo(HashSet()) { it.id }
+    /** Forgets what is known of servers that are not in [ids]. */
+    fun retain(ids: Set<String>) {
         buckets.keys.retainAll(ids)
         recentSends.keys.retainAll(ids)
     }
--- a/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
@@ -29,6 +29,9 @@
     /** Time in milliseconds for which the server stays cold and tolerates only few requests; 0 if it is warm. */
     @CborLabel(11) val coldMillis: Long = 0,
 ) {
+    /** The process that sent the report. */
+    public val incarnation: ServerIncarnation get() = ServerIncarnation(id, startedAtMillis)
+
     /**
      * True if the reports differ at most in their sequence numbers, in their adapters, which change frequently, and in how long a cold
      * server stays cold.
--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -119,10 +119,10 @@
         records.flatMap { RecordCodec.encode(StoredRecord.serializer(), it) }
 
     private fun readIdentity(): String {
-        val path = folder.resolve("identity")
+        val path = folder.resolve(IDENTITY_FILE)
         if (path.exists()) return path.readText().trim()
         val identity = UUID.randomUUID().toString()
-        replaceFile("identity", sequenceOf(identity.toByteArray()))
+        replaceFile(IDENTITY_FILE, sequenceOf(identity.toByteArray()))
         return identity
     }
 
@@ -201,7 +201,9 @@
         operations.sync(folder)
     }
 
-    private companion object {
-        const val ENTRY_RECORD_BYTES = 1024L * 1024
+    internal companion object {
+        /** Name of the file with the identity of the replica. */
+        const val IDENTITY_FILE = "identity"
+        private const val ENTRY_RECORD_BYTES = 1024L * 1024
     }
 }
--- a/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
@@ -47,7 +47,7 @@
         val target = folder.resolve("damaged-${System.nanoTime()}")
         Files.createDirectory(target)
         // The identity goes first: what remains after a crash in between must not be used under it.
-        moveFiles(target) { it.name == IDENTITY_FILE }
+        moveFiles(target) { it.name == FileStorage.IDENTITY_FILE }
         moveFiles(target) { true }
         onDamage(reason.message, target)
     }
@@ -61,8 +61,4 @@
         LocalFolderOperations.sync(target)
         LocalFolderOperations.sync(folder)
     }
-
-    private companion object {
-        const val IDENTITY_FILE = "identity"
-    }
 }
