--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -342,6 +342,7 @@
         if (now - term.beliefsLoggedAt < BELIEF_LOG_INTERVAL) return
         term.beliefsLoggedAt = now
         log.info("requests_believed_running", "count" to runningRequests, "term" to term.number)
+        logLoadCapacity(term, now)
         val entries = watchResponder.entryCounts()
         for (usage in synchronized(lock) { term.dispatcher.takeLimitUsage() }) {
             log.info(
@@ -357,6 +358,23 @@
         }
     }
 
+    /** Logs what would keep a request from having its adapter loaded. */
+    private fun logLoadCapacity(
+        term: LeaderTerm,
+        now: Duration,
+    ) {
+        val capacity = synchronized(lock) { term.dispatcher.loadCapacity(now) }
+        log.info(
+            "load_capacity",
+            "in_transit" to capacity.inTransit,
+            "limit" to capacity.limit,
+            "engines" to capacity.engines,
+            "orderable" to capacity.orderable,
+            "with_slot" to capacity.withSlot,
+            "term" to term.number,
+        )
+    }
+
     private fun takeOverOrders(
         term: LeaderTerm,
         now: Duration,
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -108,6 +108,9 @@
         now: Duration,
     ): Unit = planner.recordFailed(order, now)
 
+    /** The room for further adapter loads, for the log. */
+    public fun loadCapacity(now: Duration): LoadCapacity = planner.capacity(now)
+
     /** The next order to load a base model on an engine without one, or null if none is due. */
     public fun nextModelOrder(now: Duration): ModelOrder? = planner.nextModelOrder(now)
 
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -66,6 +66,14 @@
         }
     }
 
+    /** The room for further loads of adapters that no engine holds. */
+    fun capacity(now: Duration): LoadCapacity {
+        val engines = fleet.servers.filter { it.isReady && fleet.engineOf(it) != null }
+        val orderable = engines.filter { canOrder(it, now) }
+        val withSlot = orderable.count { it.loadingCount(now) < options.loadsPerServer && hasSlot(it, now) }
+        return LoadCapacity(loadingCount(now), concurrentLoads(engines.size), engines.size, orderable.size, withSlot)
+    }
+
     private fun fetchCost(
         server: DispatchServer,
         adapter: String,
@@ -81,9 +89,16 @@
         adapter: String,
         now: Duration,
     ): Boolean {
-        val slots = fleet.engineOf(server)?.adapterSlots ?: return false
         val current = server.adapterSlots[adapter]
-        if (current != null) return current.isIdle(now)
+        return if (current != null) current.isIdle(now) else hasSlot(server, now)
+    }
+
+    /** True if [server] has a free slot, or one whose adapter may be evicted. */
+    private fun hasSlot(
+        server: DispatchServer,
+        now: Duration,
+    ): Boolean {
+        val slots = fleet.engineOf(server)?.adapterSlots ?: return false
         return server.adapterSlots.size < slots || (server.adapterSlots.size == slots && server.evictionCandidate(now) != null)
     }
 
