Count only loads that engines have accepted as in transit from the weight store

Callers saw requests for adapters refused (reason=loading) while the weight store and the engines had room. Cause: the limit on loads in transit also counted loads that the leader had reserved and not ordered yet. A leader that is short of processor time needs 0.3 s and more for an order; then more than half of the limit was taken by loads that were not on their way.

Loads that no engine has accepted have a limit of their own of the same size, so that late orders do not pile up.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -367,6 +367,7 @@
         log.info(
             "load_capacity",
             "in_transit" to capacity.inTransit,
+            "reserved" to capacity.reserved,
             "limit" to capacity.limit,
             "engines" to capacity.engines,
             "orderable" to capacity.orderable,
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -76,7 +76,13 @@
 
     fun isWarm(adapter: String): Boolean = adapter in recentlyEvicted
 
-    fun loadingCount(now: Duration): Int = adapterSlots.values.count { it.isLoading(now) }
+    fun loadingCount(now: Duration): Int = inTransitCount(now) + reservedCount()
+
+    /** Adapters that the server is loading. */
+    fun inTransitCount(now: Duration): Int = adapterSlots.values.count { it.isInTransit(now) }
+
+    /** Adapters whose load the server has not accepted yet. */
+    fun reservedCount(): Int = adapterSlots.values.count { it.state == State.RESERVED }
 
     /** The least recently used idle adapter, or null if all adapters are in use. */
     fun evictionCandidate(now: Duration): AdapterSlot? = adapterSlots.values.filter { it.isIdle(now) }.minByOrNull { it.lastUsedAt }
--- a/policy/src/main/kotlin/anvilslip/policy/LoadCapacity.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadCapacity.kt
@@ -2,9 +2,11 @@
 
 /** How much room there is for further adapter loads, for the log. */
 public data class LoadCapacity(
-    /** Adapters that are being loaded, or whose load is about to be ordered. */
+    /** Adapters on their way from the weight store. */
     val inTransit: Int,
-    /** Adapters that may be in transit from the weight store at the same time. */
+    /** Adapters whose load no engine has accepted yet. */
+    val reserved: Int,
+    /** Limit of [inTransit], and of [reserved]. */
     val limit: Int,
     /** Ready engines. */
     val engines: Int,
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -59,7 +59,7 @@
         if (!mayOrder) return null
         val eligible = candidates.filter { canOrder(it, now) && it.loadingCount(now) < options.loadsPerServer && canLoad(it, adapter, now) }
         val warm = eligible.filter { it.isWarm(adapter) }
-        val cold = eligible.takeIf { loadingCount(now) < concurrentLoads(candidates.size) }.orEmpty()
+        val cold = eligible.takeIf { mayFetch(candidates.size, now) }.orEmpty()
         return (warm + cold).minByOrNull {
             val answerCost = fleet.answerCost(it, request, now)
             answerCost + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now)
@@ -71,7 +71,7 @@
         val engines = fleet.servers.filter { it.isReady && fleet.engineOf(it) != null }
         val orderable = engines.filter { canOrder(it, now) }
         val withSlot = orderable.count { it.loadingCount(now) < options.loadsPerServer && hasSlot(it, now) }
-        return LoadCapacity(loadingCount(now), concurrentLoads(engines.size), engines.size, orderable.size, withSlot)
+        return LoadCapacity(inTransit(now), reservedCount(), concurrentLoads(engines.size), engines.size, orderable.size, withSlot)
     }
 
     private fun fetchCost(
@@ -111,7 +111,20 @@
         return (options.adapterLoad - (now - candidate.lastUsedAt) / EVICTION_AGE_FACTOR).coerceAtLeast(Duration.ZERO)
     }
 
-    private fun loadingCount(now: Duration): Int = fleet.servers.sumOf { it.loadingCount(now) }
+    /**
+     * True if the weight store may be asked for another adapter. Loads that no engine has accepted yet do not use the store, but are limited
+     * as well, so that a leader whose orders are late does not start more of them than it can finish.
+     */
+    private fun mayFetch(
+        engines: Int,
+        now: Duration,
+    ): Boolean = concurrentLoads(engines).let { inTransit(now) < it && reservedCount() < it }
+
+    /** Adapters on their way from the weight store. */
+    private fun inTransit(now: Duration): Int = fleet.servers.sumOf { it.inTransitCount(now) }
+
+    /** Adapters whose load has not been accepted yet. */
+    private fun reservedCount(): Int = fleet.servers.sumOf { it.reservedCount() }
 
     private fun concurrentLoads(servers: Int): Int = maxOf(options.minConcurrentLoads, (servers * options.concurrentLoadsPerServer).toInt())
 
@@ -175,7 +188,7 @@
     ) {
         val server = fleet[order.server] ?: return
         val engineCount = fleet.servers.count { fleet.engineOf(it) != null }
-        val slowdown = maxOf(1.0, loadingCount(now).toDouble() / concurrentLoads(engineCount))
+        val slowdown = maxOf(1.0, (inTransit(now) + 1.0) / concurrentLoads(engineCount))
         val time = if (server.isWarm(order.adapter)) options.warmAdapterLoad else options.adapterLoad * slowdown
         server.ordersAccepted = orders
         val slot = server.adapterSlots.getOrPut(order.adapter) { AdapterSlot(order.adapter, State.LOADED, null, now, now) }
