--- a/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClientRequest.kt
@@ -27,4 +27,6 @@
     public val sharedPromptParts: List<String> = emptyList(),
     /** ID of the last event that the client received of the stream it resumes; null for a new stream. */
     public val lastEventId: String? = null,
+    /** ID of the attempt that delivered the first event of the resumed stream; null if the client named none. */
+    public val resumedAttemptId: String? = null,
 )
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -317,6 +317,7 @@
             "service" to report.service,
             "address" to report.address,
             "phase" to report.phase,
+            "version" to report.softwareVersion,
             "sequence" to report.sequence,
             "direct" to direct,
         )
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -46,6 +46,9 @@
     /** True once a part of the response has been sent to the client. */
     var hasResponseStarted = false
 
+    /** True if the client has received events of the stream, in this response or in one that it resumes. */
+    val isResumed: Boolean get() = route.resumable && events.lastId != null
+
     /** True once the tokens have been charged to the workspace. */
     var isCharged = false
     var lastServer: String? = null
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -133,6 +133,7 @@
                 if (clusterView.isEvacuated(attempt.decision.server)) excludeEvacuatedServers(exchange)
                 return null
             }
+            if (exchange.isResumed) log.recordResumption(exchange, attempt, clusterView.server(attempt.decision.server)?.softwareVersion)
             exchange.attempts++
             exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
             val result = sender.send(exchange, attempt)
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -75,6 +75,23 @@
             "reason" to reason,
         )
 
+    /** Records that [attempt] resumes a stream on a server that runs [softwareVersion], or whose version is not known. */
+    fun recordResumption(
+        exchange: Exchange,
+        attempt: Attempt,
+        softwareVersion: String?,
+    ): Unit =
+        log.info(
+            "resumed",
+            "request_id" to exchange.request.attemptId,
+            "resumes" to exchange.request.resumedAttemptId,
+            "within_response" to exchange.hasResponseStarted,
+            "last_event" to exchange.events.lastId,
+            "server" to attempt.decision.server,
+            "version" to softwareVersion,
+            "term" to (attempt.term ?: "none"),
+        )
+
     /** Records how a request ended. */
     fun recordOutcome(
         exchange: Exchange,
--- a/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServerReport.kt
@@ -28,6 +28,8 @@
     @CborLabel(10) val remainingMillis: Long? = null,
     /** Time in milliseconds for which the server stays cold and tolerates only few requests; 0 if it is warm. */
     @CborLabel(11) val coldMillis: Long = 0,
+    /** Version of the server's software; empty if it states none. Texts that different versions generate do not fit together. */
+    @CborLabel(12) val softwareVersion: String = "",
 ) {
     /** The process that sent the report. */
     public val incarnation: ServerIncarnation get() = ServerIncarnation(id, startedAtMillis)
