Let a stream go on only at the software version that began it

Cause: neither the version of a server nor the stream that a client resumes was read, so that each way to go on (another server within one response, any server for a client that resumes) took any server of the service. Class: a promise about a whole, a stream over several attempts, kept by what one process remembers of one part.

An entry instance binds a stream to service and version of its first event, before it passes that on, and tells the leader with its next report of progress; a new leader is told of all streams that may still be resumed.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Attempt.kt
@@ -13,6 +13,8 @@
     val term: Long? = null,
     /** Time at which the decision was asked for. */
     val askedAt: Duration = Duration.ZERO,
+    /** Version of the server's software. */
+    val softwareVersion: String = "",
 ) {
     val limitGrant: LimitGrant? get() = if (term == null) null else decision.limitSequence?.let { LimitGrant(term, it) }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -269,6 +269,12 @@
         if (change == FleetTable.Change.CHANGED) signalChange()
     }
 
+    /** Software versions of the servers of [service] that have reported within [period], also of those that have left. */
+    public fun softwareVersions(
+        service: String,
+        period: Duration,
+    ): Set<String> = synchronized(fleet) { fleet.softwareVersions(service, fleetTime() - period) }
+
     /** Returns the backend servers that have reported within the timeout and have not been deregistered. */
     public fun servers(): List<ServerReport> = synchronized(fleet) { fleet.aliveServers(fleetTime(), serverTimeout) }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ControlRouter.kt
@@ -11,6 +11,8 @@
     private val watchResponder: WatchResponder,
     private val dispatch: LeaderDispatch,
     private val operations: ControlOperations,
+    private val streams: StreamRegistry,
+    private val streamLookup: StreamLookup,
 ) : PeerHandler {
     override suspend fun handle(
         from: String,
@@ -21,13 +23,20 @@
             is PeerMessage.Watch -> watchResponder.respond(from, message)
             is PeerMessage.SuspectUpdate -> watchResponder.recordSuspects(message).let { PeerMessage.Ack }
             is PeerMessage.Admit -> dispatch.admit(message.demand)
-            is PeerMessage.Progress -> dispatch.recordProgress(message).let { PeerMessage.Ack }
+            is PeerMessage.Progress -> recordProgress(message)
+            is PeerMessage.FindStream -> streamLookup.find(message)
             is PeerMessage.Propose -> propose(message)
             is PeerMessage.ReadDocument -> operations.readOnLeader().fold({ notLeader() }, { PeerMessage.DocumentReply(it) })
             is PeerMessage.Ping -> PeerMessage.Ack
             else -> PeerMessage.Failed("not understood here")
         }
 
+    private fun recordProgress(message: PeerMessage.Progress): PeerMessage {
+        streams.record(message.streams)
+        dispatch.recordProgress(message)
+        return PeerMessage.Ack
+    }
+
     private suspend fun propose(message: PeerMessage.Propose): PeerMessage =
         replica.propose(message.command).fold({ PeerMessage.ProposeReply(error = it) }, { PeerMessage.ProposeReply(outcome = it) })
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -6,19 +6,29 @@
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
 import anvilslip.policy.SseEventBuffer
+import anvilslip.policy.StreamOrigin
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** State of one client request while it is being forwarded. */
 internal class Exchange(
     val request: ClientRequest,
     val route: ServingRoute,
-    val service: String,
+    service: String,
     val workspace: ServingWorkspace?,
     val configurationVersion: Long,
     val responder: HttpResponder,
     val startedAt: Duration,
     val deadline: Duration,
 ) {
+    /** The service that runs the request. */
+    var service: String = service
+        private set
+
+    /** What generated the first event of the stream; null until the client has one. */
+    var origin: StreamOrigin? = null
+        private set
+
     /** 0 is the most urgent. */
     val priority: Int get() = workspace?.priority ?: route.priority
 
@@ -46,8 +56,8 @@
     /** True once a part of the response has been sent to the client. */
     var hasResponseStarted = false
 
-    /** True if the client has received events of the stream, in this response or in one that it resumes. */
-    val isResumed: Boolean get() = route.resumable && events.lastId != null
+    /** True if the client resumes a stream of which it has received events. */
+    val isResumption: Boolean get() = route.resumable && (request.lastEventId != null || request.resumedAttemptId != null)
 
     /** True once the tokens have been charged to the workspace. */
     var isCharged = false
@@ -62,9 +72,23 @@
     var lastBreakAt: Duration? = null
     var lastTerm: Long? = null
 
+    /** Time for which the client may resume the stream. */
+    fun resumableFor(now: Duration): Duration = startedAt + maxOf(request.timeout ?: route.timeout, route.timeout) + RESUME_MARGIN - now
+
+    /** Records that the stream began at [origin], so that only servers like that one may resume it. */
+    fun bindTo(origin: StreamOrigin) {
+        this.origin = origin
+        service = origin.service
+    }
+
     /**
      * Cancels the current attempt. Returns true if a server may have received the request in this attempt or run it in an earlier
      * one.
      */
     fun cancelAttempt(): Boolean = gate?.tryClose() == false || possibleRuns > 0
+
+    private companion object {
+        /** Client and instance count the time of a request from different moments. */
+        val RESUME_MARGIN = 2.seconds
+    }
 }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -13,6 +13,7 @@
 import anvilslip.policy.ServingConfiguration
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
+import anvilslip.policy.StreamRecord
 import anvilslip.state.AdapterName
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -33,6 +34,7 @@
     private val sender: RequestSender,
     private val availability: ServerAvailability,
     private val crashDetector: CrashDetector,
+    private val streams: StreamResolver,
     metrics: GatewayMetrics,
     private val clock: Clock,
     private val retryBudget: () -> RetryBudget,
@@ -87,13 +89,33 @@
         retryBudgetFor(exchange.service).let { synchronized(it) { it.recordRequest(clock.elapsed()) } }
         var outcome = "client_left"
         try {
-            val finished = withTimeoutOrNull(exchange.deadline - clock.elapsed()) { serve(exchange) }
+            val finished = withTimeoutOrNull(exchange.deadline - clock.elapsed()) { bindResumption(exchange) ?: serve(exchange) }
             outcome = finished ?: failExpired(exchange)
         } finally {
             log.recordOutcome(exchange, outcome)
         }
     }
 
+    /**
+     * Finds out where the stream began that the client resumes, if it resumes one. Returns null if the request may be served, or its outcome
+     * if it is refused: what another software version or service generates would not fit the events that the client has.
+     */
+    private suspend fun bindResumption(exchange: Exchange): String? {
+        if (!exchange.isResumption) return null
+        val result = streams.resolve(exchange, exchange.route.target * LEADERLESS_WAIT_SHARE)
+        val origin = result.origin?.takeIf { known -> exchange.route.split.any { it.service == known.service && it.weight > 0 } }
+        log.recordResumption(exchange, result)
+        if (origin == null) {
+            val retryAfter = if (result.source == StreamResolver.Source.NO_LEADER) BUSY_RETRY_AFTER else null
+            return fail(exchange, UNAVAILABLE, "refused_unknown_origin", retryAfter)
+        }
+        exchange.bindTo(origin)
+        exchange.request.resumedAttemptId?.let {
+            progress.recordStream(StreamRecord(it, origin, exchange.resumableFor(clock.elapsed()).inWholeMilliseconds))
+        }
+        return null
+    }
+
     /** Tries servers until the request is answered or has failed; returns its outcome for the log and the metrics. */
     private suspend fun serve(exchange: Exchange): String {
         while (true) {
@@ -113,7 +135,8 @@
             exchange.lastServer = decision.server
             progress.recordLoad(number, decision.server, exchange.service, unreadTokens(exchange))
             progress.recordSent(number) { runningRequest(exchange, number, decision.server) }
-            val result = sendOnce(exchange, Attempt(number, decision, admitted.term, askedAt)) ?: continue
+            val attempt = Attempt(number, decision, admitted.term, askedAt, softwareVersionOf(decision))
+            val result = sendOnce(exchange, attempt) ?: continue
             handleResult(exchange, decision, result)?.let { return it }
         }
     }
@@ -126,14 +149,15 @@
         var outputTokens: Int? = null
         try {
             if (attempt.decision.holdMillis > 0) delay(attempt.decision.holdMillis)
-            if (isRevoked(exchange, attempt.decision.server) || isLimitUnknown(attempt)) {
+            if (isRevoked(exchange, attempt.decision.server) || isLimitUnknown(attempt) || isOtherVersion(exchange, attempt)) {
                 progress.recordStep(attempt.number, RequestStep.NOT_RUN)
                 // The leader refunds the tokens of a request that was not run, so the next admission must charge them again.
                 exchange.isCharged = exchange.possibleRuns > 0
                 if (clusterView.isEvacuated(attempt.decision.server)) excludeEvacuatedServers(exchange)
+                if (isOtherVersion(exchange, attempt)) exchange.excludedServers += attempt.decision.server
                 return null
             }
-            if (exchange.isResumed) log.recordResumption(exchange, attempt, clusterView.server(attempt.decision.server)?.softwareVersion)
+            if (exchange.origin != null) log.recordResumedAttempt(exchange, attempt)
             exchange.attempts++
             exchange.firstSentAt = exchange.firstSentAt ?: clock.elapsed()
             val result = sender.send(exchange, attempt)
@@ -155,6 +179,20 @@
     private fun isLimitUnknown(attempt: Attempt): Boolean =
         attempt.decision.limitSequence == null && availability.isLimitedSince(attempt.decision.server, attempt.askedAt)
 
+    /** The version that the leader has chosen; an instance of an earlier version of this system does not tell. */
+    private fun softwareVersionOf(decision: DispatchDecision.Send): String =
+        decision.softwareVersion ?: clusterView.server(decision.server)?.softwareVersion.orEmpty()
+
+    /** True if the server does not run the version that began the stream, or a newer report than that of the leader names another one. */
+    private fun isOtherVersion(
+        exchange: Exchange,
+        attempt: Attempt,
+    ): Boolean {
+        val reported = clusterView.server(attempt.decision.server)?.softwareVersion
+        val isRestarted = reported != null && reported != attempt.softwareVersion
+        return isRestarted || exchange.origin?.let { it.softwareVersion != attempt.softwareVersion } == true
+    }
+
     /** Excludes the servers of evacuated zones, since a leader that does not know of the evacuation yet would choose the next of them. */
     private fun excludeEvacuatedServers(exchange: Exchange) {
         exchange.excludedServers += clusterView.servers().filter(clusterView::isEvacuated).map { it.id }
@@ -199,13 +237,12 @@
         val now = clock.elapsed()
         val lastBreakAt = exchange.lastBreakAt
         if (exchange.hasResponseStarted && lastBreakAt != null) {
-            if (now - lastBreakAt > RESUME_TIMEOUT) return false
+            if (now - lastBreakAt > RESUME_TIMEOUT || refusal.reason == DispatchRefusal.VERSION_GONE) return false
             delay(RESUME_POLL)
             return true
         }
         val waited = now - exchange.startedAt
-        // An evacuation does not end because a leader is elected, and the room of limited servers does not grow.
-        val electionMayHelp = term == null && refusal.reason != DispatchRefusal.EVACUATED && refusal.reason != DispatchRefusal.LIMITED
+        val electionMayHelp = term == null && refusal.reason !in INDEPENDENT_OF_LEADER
         val maxWait = exchange.route.target * LEADERLESS_WAIT_SHARE
         if (!electionMayHelp || waited > maxWait) return false
         delay(LEADERLESS_POLL)
@@ -286,6 +323,7 @@
             priority = exchange.priority,
             maxOutputTokens = request.maxOutputTokens,
             lengthHint = request.lengthHint,
+            softwareVersion = exchange.origin?.softwareVersion,
         )
     }
 
@@ -318,7 +356,12 @@
         log.recordRefusal(exchange, refusal)
         val status = if (refusal.reason == DispatchRefusal.OVER_LIMIT) TOO_MANY_REQUESTS else UNAVAILABLE
         val reason = "refused_${refusal.reason.name.lowercase()}"
-        val retryAfter = if (refusal.reason == DispatchRefusal.EVACUATED) spread(refusal, exchange) else retryAfter(refusal, exchange)
+        val retryAfter =
+            when (refusal.reason) {
+                DispatchRefusal.EVACUATED -> spread(refusal, exchange)
+                DispatchRefusal.VERSION_GONE -> null
+                else -> retryAfter(refusal, exchange)
+            }
         return fail(exchange, if (exchange.possibleRuns == 0) status else BAD_GATEWAY, reason, retryAfter)
     }
 
@@ -377,6 +420,8 @@
     }
 
     private companion object {
+        /** Reasons that the election of a leader does not change. */
+        val INDEPENDENT_OF_LEADER = setOf(DispatchRefusal.EVACUATED, DispatchRefusal.LIMITED, DispatchRefusal.VERSION_GONE)
         val SUCCESS = 200..299
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -195,7 +195,9 @@
                 HttpServer("directory", it, dialects.directory(operations, settings.resolveLifetime), threads = 1, bodies = bodies),
             )
         }
-        return ControlRouter(replica, watchResponder, dispatch, operations)
+        val streams = StreamRegistry(clock)
+        val lookup = StreamLookup(streams, clusterView, replica::view, clock) { dispatch.electedAt }
+        return ControlRouter(replica, watchResponder, dispatch, operations, streams, lookup)
     }
 
     private fun replica(restoreQuarantines: (ReplicatedState) -> Unit): Replica {
@@ -241,7 +243,8 @@
     ) = log.error("storage_damaged", "reason" to reason, "kept_in" to keptIn)
 
     private fun installEntry(address: Address) {
-        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView, clock))
+        val streams = StreamRegistry(clock)
+        val progress = kernel.install(ProgressReporter(settings.host, network, clusterView, clock, streams))
         val local = LocalDispatch(clusterView, progress)
         val delegates = if (usesDelegates) installDelegates(local, progress) else null
         val withdraw = { number: Long -> progress.recordStep(number, RequestStep.ENDED) }
@@ -260,6 +263,7 @@
                 sender = sender,
                 availability = availability,
                 crashDetector = crashDetector,
+                streams = StreamResolver(streams, network::call, { clusterView.leader.host }, clock),
                 metrics = requestMetrics,
                 clock = clock,
                 retryBudget = ::retryBudget,
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
@@ -14,6 +14,10 @@
     /** Seconds from the arrival of a request to the end of its response, by kind of route. */
     public val duration: Histogram = metrics.histogram("anvilslip_forwarded_seconds", "Time until the end of the answer", "kind")
 
+    /** Number of streams that clients resumed, by who knew where they began and whether that was known. */
+    public val resumptions: Counter =
+        metrics.counter("anvilslip_resumptions_total", "Streams that clients resumed by origin", "source", "origin")
+
     /** Number of answers that do not name the request that was waiting, by the ID that they have and the age of their connection. */
     public val foreignAnswers: Counter =
         metrics.counter("anvilslip_foreign_answers_total", "Answers that do not name the waiting request", "id", "connection")
--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -91,6 +91,9 @@
     internal val runningRequests: Int
         get() = termState.find(replicaView().term)?.let { synchronized(lock) { it.dispatcher.runningRequests } } ?: 0
 
+    /** Time at which this instance was elected in the current term; null if it does not lead or has only just been elected. */
+    internal val electedAt: Duration? get() = termState.find(replicaView().term)?.electedAt
+
     override suspend fun start() {
         scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
         scope.launchSupervised("admission queue") { recordProgress ->
--- a/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LocalDispatch.kt
@@ -59,7 +59,9 @@
         val ready = clusterView.servers().filter { it.service == request.service && it.phase == ServerPhase.READY }
         val available = ready.filterNot(clusterView::isEvacuated)
         if (available.isEmpty() && ready.isNotEmpty()) return DispatchDecision.Refuse.evacuated(ready.size)
-        val candidates = available.filter { it.id !in request.exclude }
+        val fitting = available.filter(request::mayRunOn)
+        if (fitting.isEmpty() && available.isNotEmpty()) return refuse(DispatchRefusal.VERSION_GONE, request)
+        val candidates = fitting.filter { it.id !in request.exclude }
         if (candidates.isEmpty()) return refuse(DispatchRefusal.NO_SERVER, request)
         // The share of this instance in what cold servers tolerate is zero, so that all instances together keep within the limit.
         val eligible = candidates.filter { canServe(it, request) && !clusterView.isCold(it) }
@@ -68,7 +70,12 @@
         val reason = if (eligible.isEmpty()) DispatchRefusal.LOADING else DispatchRefusal.LIMITED
         val best = chooseOfTwo(open, request) ?: return refuse(reason, request)
         chargeOrRefuse(request, now)?.let { return it }
-        return DispatchDecision.Send(best.id, best.address, version = version(request))
+        return DispatchDecision.Send(
+            best.id,
+            best.address,
+            version = version(request),
+            softwareVersion = best.softwareVersion.ifEmpty { null },
+        )
     }
 
     private fun chooseOfTwo(
--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -8,6 +8,7 @@
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RequestStep
 import anvilslip.policy.RunningRequest
+import anvilslip.policy.StreamRecord
 import anvilslip.wire.PeerMessage
 import anvilslip.wire.PeerNetwork
 import kotlinx.coroutines.CoroutineScope
@@ -26,23 +27,50 @@
     private val network: PeerNetwork,
     private val clusterView: ClusterView,
     private val clock: Clock = SystemClock,
+    private val streams: StreamRegistry = StreamRegistry(clock),
 ) : Service,
     LocalLoad {
+    private sealed interface Report {
+        data class Step(
+            val event: RequestEvent,
+        ) : Report
+
+        data class Stream(
+            val record: StreamRecord,
+        ) : Report
+
+        data object NewLeader : Report
+    }
+
     override val name: String = NAME
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val events = Channel<RequestEvent>(QUEUE_LENGTH)
+    private val reports = Channel<Report>(QUEUE_LENGTH)
     private val running = ConcurrentHashMap<Long, () -> RunningRequest>()
     private val loads = LocalLoads()
     private var lastReportedTerm = 0L
 
     override suspend fun start() {
         scope.launchSupervised("progress") { recordProgress ->
-            for (first in events) {
+            for (first in reports) {
                 delay(BATCH_DELAY)
                 sendBatch(first)
                 recordProgress()
             }
         }
+        scope.launchSupervised("progress to new leaders") { reportToNewLeaders(it) }
+    }
+
+    /** Has a new leader told at once of the streams that clients may resume, not only with the next event. */
+    private suspend fun reportToNewLeaders(recordProgress: () -> Unit) {
+        var reportedTerm = clusterView.leader.term
+        while (true) {
+            val seen = clusterView.changeCount
+            val term = clusterView.leader.term
+            if (term > reportedTerm) reports.trySend(Report.NewLeader)
+            reportedTerm = term
+            recordProgress()
+            clusterView.awaitChange(seen)
+        }
     }
 
     override suspend fun stop() {
@@ -83,18 +111,31 @@
         synchronized(loads) {
             if (step == RequestStep.ANSWERING) loads.recordAnswering(number, clock.elapsed()) else loads.recordEnded(number)
         }
-        events.trySend(RequestEvent(number, step, outputTokens))
+        reports.trySend(Report.Step(RequestEvent(number, step, outputTokens)))
+    }
+
+    /** Records the origin of a stream that its client may resume. */
+    public fun recordStream(record: StreamRecord) {
+        streams.record(listOf(record))
+        reports.trySend(Report.Stream(record))
     }
 
-    private fun sendBatch(first: RequestEvent) {
-        val batch = ArrayList<RequestEvent>()
+    private fun sendBatch(first: Report) {
+        val batch = ArrayList<Report>()
         batch += first
-        while (batch.size < MAX_BATCH) batch += events.tryReceive().getOrNull() ?: break
+        while (batch.size < MAX_BATCH) batch += reports.tryReceive().getOrNull() ?: break
         val leader = clusterView.leader
         val host = leader.host ?: return
-        val reported = if (leader.term > lastReportedTerm) running.values.map { it() } else emptyList()
+        val isNew = leader.term > lastReportedTerm
+        val message =
+            PeerMessage.Progress(
+                entry = this.host,
+                events = batch.filterIsInstance<Report.Step>().map { it.event },
+                running = if (isNew) running.values.map { it() } else emptyList(),
+                streams = if (isNew) streams.unexpired() else batch.filterIsInstance<Report.Stream>().map { it.record },
+            )
         lastReportedTerm = leader.term
-        network.send(host, PeerMessage.Progress(this.host, batch, reported))
+        network.send(host, message)
     }
 
     public companion object {
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -75,11 +75,28 @@
             "reason" to reason,
         )
 
-    /** Records that [attempt] resumes a stream on a server that runs [softwareVersion], or whose version is not known. */
+    /** Records where the stream began that the client of [exchange] resumes. */
     fun recordResumption(
+        exchange: Exchange,
+        result: StreamResolver.Result,
+    ) {
+        val source = result.source.name.lowercase()
+        metrics.resumptions.labelValues(source, if (result.origin == null) "unknown" else "known").inc()
+        log.info(
+            "stream_origin",
+            "request_id" to exchange.request.attemptId,
+            "resumes" to exchange.request.resumedAttemptId,
+            "last_event" to exchange.request.lastEventId,
+            "service" to result.origin?.service,
+            "version" to result.origin?.softwareVersion,
+            "source" to source,
+        )
+    }
+
+    /** Records that [attempt] resumes a stream, for the client or within the response. */
+    fun recordResumedAttempt(
         exchange: Exchange,
         attempt: Attempt,
-        softwareVersion: String?,
     ): Unit =
         log.info(
             "resumed",
@@ -88,7 +105,7 @@
             "within_response" to exchange.hasResponseStarted,
             "last_event" to exchange.events.lastId,
             "server" to attempt.decision.server,
-            "version" to softwareVersion,
+            "version" to attempt.softwareVersion,
             "term" to (attempt.term ?: "none"),
         )
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -8,6 +8,8 @@
 import anvilslip.kernel.Clock
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RequestStep
+import anvilslip.policy.StreamOrigin
+import anvilslip.policy.StreamRecord
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -105,7 +107,7 @@
         progress.recordStep(attempt.number, RequestStep.ANSWERING)
         val isStream = exchange.route.kind == RequestKind.STREAMING && response.status == OK
         return try {
-            if (isStream) relayStream(exchange, response) else relayWhole(exchange, response)
+            if (isStream) relayStream(exchange, attempt, response) else relayWhole(exchange, response)
         } catch (e: HttpClientException) {
             AttemptResult.Broken(e.message ?: "broken")
         }
@@ -125,6 +127,7 @@
 
     private suspend fun relayStream(
         exchange: Exchange,
+        attempt: Attempt,
         response: HttpClientResponse,
     ): AttemptResult {
         if (!exchange.hasResponseStarted) {
@@ -135,7 +138,10 @@
         while (true) {
             val bytes = response.read() ?: break
             val events = exchange.events.append(bytes)
-            if (events.isNotEmpty()) exchange.responder.sendPart(events)
+            if (events.isNotEmpty()) {
+                recordOrigin(exchange, attempt)
+                exchange.responder.sendPart(events)
+            }
             if (exchange.events.isOverlong) return AttemptResult.Broken("an event of the stream is too long")
         }
         if (exchange.events.hasPartialEvent) return AttemptResult.Broken("the stream ended within an event")
@@ -143,6 +149,18 @@
         return AttemptResult.Delivered(response.status)
     }
 
+    /** Records where a stream began, before its first event is passed on. */
+    private fun recordOrigin(
+        exchange: Exchange,
+        attempt: Attempt,
+    ) {
+        if (exchange.origin != null || !exchange.route.resumable) return
+        val origin = StreamOrigin(exchange.service, attempt.softwareVersion)
+        exchange.bindTo(origin)
+        val attemptId = exchange.request.attemptId ?: return
+        progress.recordStream(StreamRecord(attemptId, origin, exchange.resumableFor(clock.elapsed()).inWholeMilliseconds))
+    }
+
     private companion object {
         const val OK = 200
         const val SERVER_ERROR = 500
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -120,6 +120,7 @@
             sender = RequestSender(client, TestDialect, progress, availability, senderClock),
             availability = availability,
             crashDetector = CrashDetector(client, clusterView),
+            streams = StreamResolver(StreamRegistry(SystemClock), network::call, { null }, SystemClock),
             metrics = GatewayMetrics(Metrics()),
             clock = SystemClock,
             retryBudget = { RetryBudget(10.seconds, 0.0) { retryReserve } },
--- a/gateway/src/test/kotlin/anvilslip/gateway/LocalDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LocalDispatchSpec.kt
@@ -62,6 +62,21 @@
             }
         }
 
+        describe("a request that resumes a stream") {
+            fun Local.setVersion(
+                server: String,
+                version: String,
+            ) = view.recordReport(view.server(server)!!.copy(sequence = 2, softwareVersion = version), direct = true)
+
+            it("is sent only to a server of the software version that began it, and refused without one") {
+                val local = Local(servers = 3, held = mapOf("a" to 1L))
+                for ((server, version) in listOf("s0" to "v1", "s1" to "v2", "s2" to "v2")) local.setVersion(server, version)
+                List(20) { local.server(request.copy(softwareVersion = "v1")) }.toSet() shouldBe setOf("s0")
+                val refusal = local.dispatch.decide(request.copy(softwareVersion = "v3"), now) as DispatchDecision.Refuse
+                refusal.reason shouldBe DispatchRefusal.VERSION_GONE
+            }
+        }
+
         describe("servers that have named a limit") {
             fun Local.limit(server: String) =
                 view.serverLimits.record(ServerIncarnation(server, 1), 100.0, null, sentAt = now - 1.seconds, receivedAt = now)
--- a/gateway/src/test/kotlin/anvilslip/gateway/ResumedStreamSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ResumedStreamSpec.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldStartWith
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 
@@ -78,6 +79,24 @@
             }
         }
 
+        describe("a client that resumes a stream of which nobody knows where it began") {
+            // Guards against a text that is joined from two software versions: that one of them runs now does not show that it began the stream.
+            it("is told at once that the request was not run") {
+                val server = ScriptedServer { head, _ -> idOf(head).let { streamResponse(it, event(it, 2)) } }
+                withForwarder(listOf(server)) { _, port ->
+                    val answer =
+                        Socket("127.0.0.1", port).use { socket ->
+                            socket.soTimeout = 5_000
+                            val head = "GET /resume/1 HTTP/1.1\r\nHost: h\r\nid: 9\r\nresumes: 8\r\nlast: 1\r\nConnection: close\r\n\r\n"
+                            socket.getOutputStream().write(head.toByteArray())
+                            socket.getInputStream().readBytes().decodeToString()
+                        }
+                    answer shouldStartWith "HTTP/1.1 503"
+                    answer.events() shouldBe emptyList()
+                }
+            }
+        }
+
         describe("a server that resumes a stream from its first event") {
             it("has no event passed on twice") {
                 val restarting = ScriptedServer { head, _ -> idOf(head).let { streamResponse(it, event(it, 1) + event(it, 2)) } }
--- a/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/TestDialect.kt
@@ -10,7 +10,15 @@
 /** Minimal dialect with short header names, for tests. */
 internal object TestDialect : RequestDialect {
     override fun decode(call: HttpServerRequest) =
-        ClientRequest(call, call.header("id"), call.header("host").orEmpty().substringBefore(':'), call.header("key"), null)
+        ClientRequest(
+            call = call,
+            attemptId = call.header("id"),
+            host = call.header("host").orEmpty().substringBefore(':'),
+            apiKey = call.header("key"),
+            timeout = null,
+            lastEventId = call.header("last"),
+            resumedAttemptId = call.header("resumes"),
+        )
 
     override fun headers(
         request: ClientRequest,
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -310,7 +310,7 @@
         val REFILL_REASONS = setOf(DispatchRefusal.OVER_LIMIT, DispatchRefusal.LIMITED)
 
         /** Reasons that do not pass while a request waits. */
-        val FINAL_REASONS = setOf(DispatchRefusal.NO_SERVER, DispatchRefusal.EVACUATED)
+        val FINAL_REASONS = setOf(DispatchRefusal.NO_SERVER, DispatchRefusal.EVACUATED, DispatchRefusal.VERSION_GONE)
 
         /** Requests tried out of order in one pass, of which the first may be one that cannot be placed. */
         const val AGED_TRIES_PER_PASS = 2
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchDecision.kt
@@ -21,6 +21,8 @@
         @CborLabel(4) val version: Long? = null,
         /** Sequence number of this decision if the leader knows that the server is limited, see [LimitGrant]. */
         @CborLabel(5) val limitSequence: Long? = null,
+        /** Version of the server's software; null if it states none. */
+        @CborLabel(6) val softwareVersion: String? = null,
     ) : DispatchDecision
 
     /** The request waits in the leader's queue. It keeps its place for a moment in which the entry instance has to ask again. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -88,12 +88,18 @@
         request: DispatchRequest,
         now: Duration,
     ): List<DispatchServer> {
-        val usable = servers.filter { it.report.service == request.service && it.isReady && !isEvacuated(it) }
+        val usable =
+            servers.filter { it.report.service == request.service && it.isReady && !isEvacuated(it) && request.mayRunOn(it.report) }
         val ready = usable.filter { it.report.id !in request.exclude }
         val reachable = ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
         return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
+    /** True if no server of the service runs the software version that began the stream that [request] resumes. */
+    fun isVersionGone(request: DispatchRequest): Boolean =
+        request.softwareVersion != null &&
+            servers.none { it.report.service == request.service && it.isReady && request.mayRunOn(it.report) }
+
     fun isEvacuated(server: DispatchServer): Boolean = server.report.zone in evacuatedZones
 
     /** Number of ready servers of [service] if all of them are in zones under evacuation, otherwise 0. */
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRefusal.kt
@@ -22,4 +22,7 @@
 
     /** All servers that could serve the request have named a limit and have got what it allows for now. */
     LIMITED,
+
+    /** The request resumes a stream, and no server runs the software version that began it. */
+    VERSION_GONE,
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchRequest.kt
@@ -40,4 +40,9 @@
     @CborLabel(16) val lengthHint: Int? = null,
     /** Limits of servers that [entry] has learnt since the leader last answered it; null if it knows none. */
     @CborLabel(17) val limits: LimitReport? = null,
-)
+    /** Software version of the server that must run the request, because it resumes a stream; null for any. */
+    @CborLabel(18) val softwareVersion: String? = null,
+) {
+    /** True if the software version of [server] allows it to run the request. */
+    public fun mayRunOn(server: ServerReport): Boolean = softwareVersion == null || softwareVersion == server.softwareVersion
+}
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -276,6 +276,7 @@
     private fun refuseWithoutServer(request: DispatchRequest): Admission {
         val evacuated = fleet.countIfAllEvacuated(request.service)
         if (evacuated > 0) return Admission.Decided(DispatchDecision.Refuse.evacuated(evacuated))
+        if (fleet.isVersionGone(request)) return refuse(DispatchRefusal.VERSION_GONE, NO_SERVER_RETRY)
         return refuse(DispatchRefusal.NO_SERVER, NO_SERVER_RETRY)
     }
 
@@ -364,7 +365,15 @@
         fleet.recordSend(server, sendAt, now)
         tracker.recordSent(request, server, holdTime, now)
         val limitSequence = fleet.reportedLimits.nextGrant(server.report)
-        val decision = DispatchDecision.Send(server.report.id, server.report.address, holdTime.inWholeMilliseconds, version, limitSequence)
+        val decision =
+            DispatchDecision.Send(
+                server = server.report.id,
+                address = server.report.address,
+                holdMillis = holdTime.inWholeMilliseconds,
+                version = version,
+                limitSequence = limitSequence,
+                softwareVersion = server.report.softwareVersion.ifEmpty { null },
+            )
         return Admission.Decided(decision)
     }
 
--- a/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/FleetTable.kt
@@ -34,6 +34,7 @@
     )
 
     private val entries = LinkedHashMap<String, Entry>()
+    private val versions = ServiceVersions()
 
     /** Increases with each report that is applied. */
     public var revision: Long = 0
@@ -53,6 +54,7 @@
             it.report.address == report.address && it.report.id != report.id &&
                 report.startedAtMillis > it.report.startedAtMillis
         }
+        versions.record(report.service, report.softwareVersion, now)
         revision++
         val unchanged = known != null && known.report.hasSameState(report)
         val adaptersDue = !unchanged || (known.report.models != report.models && now - known.adaptersTime >= DETAIL_INTERVAL)
@@ -90,6 +92,7 @@
         val known = entries[id]?.takeIf { it.report.startedAtMillis == version.startedAtMillis } ?: return
         if (version.sequence <= known.report.sequence) return
         val report = known.report.copy(sequence = version.sequence)
+        versions.record(report.service, report.softwareVersion, now)
         entries[id] = Entry(report, now, ++revision, known.changedRevision, known.adaptersRevision, known.adaptersTime, direct = false)
     }
 
@@ -120,6 +123,12 @@
         directOnly: Boolean,
     ): Boolean = entries.values.any { it.changedRevision > since && (it.direct || !directOnly) }
 
+    /** Software versions of the servers of [service] that have reported since [since], also of those that have left. */
+    public fun softwareVersions(
+        service: String,
+        since: Duration,
+    ): Set<String> = versions.reportedSince(service, since)
+
     /** Servers that have not signed off and whose last report is at most [timeout] old. */
     public fun aliveServers(
         now: Duration,
--- a/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DispatcherSpec.kt
@@ -84,6 +84,32 @@
             return order
         }
 
+        describe("a request that resumes a stream") {
+            fun version(
+                id: String,
+                softwareVersion: String,
+                phase: ServerPhase = ServerPhase.READY,
+            ) = server(id, phase = phase).copy(softwareVersion = softwareVersion)
+
+            it("is sent only to servers of the software version that began it") {
+                val dispatcher = dispatcher(version("a", "v1"), version("b", "v2"), version("c", "v2"))
+                repeat(4) { (dispatcher.decide(request().copy(softwareVersion = "v1")) as DispatchDecision.Send).server shouldBe "a" }
+            }
+
+            it("has its adapter loaded on a server of that version, though another holds it") {
+                val dispatcher =
+                    dispatcher(version("a", "v1"), version("b", "v2").copy(models = listOf(LoadedModel("m", mapOf("x" to 1L)))))
+                val admission = dispatcher.admit(request("x").copy(softwareVersion = "v1"), Duration.ZERO)
+                admission.shouldBeInstanceOf<Admission.Load>().order.server shouldBe "a"
+            }
+
+            it("is refused if no server of that version is left") {
+                val dispatcher = dispatcher(version("a", "v1", ServerPhase.DRAINING), version("b", "v2"))
+                val decision = dispatcher.decide(request().copy(softwareVersion = "v1"))
+                decision.shouldBeInstanceOf<DispatchDecision.Refuse>().reason shouldBe DispatchRefusal.VERSION_GONE
+            }
+        }
+
         describe("a request without an adapter") {
             it("is sent to the server with the fewest pending prompt tokens") {
                 val dispatcher = dispatcher(server("a"), server("b"))
--- a/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerMessage.kt
@@ -18,6 +18,8 @@
 import anvilslip.policy.RequestEvent
 import anvilslip.policy.RunningRequest
 import anvilslip.policy.ServerReport
+import anvilslip.policy.StreamOrigin
+import anvilslip.policy.StreamRecord
 import anvilslip.policy.SuspectReport
 import anvilslip.policy.Usage
 import anvilslip.state.AdapterName
@@ -332,6 +334,7 @@
      * Reports progress of requests that the leader admitted.
      *
      * @property running all running requests, sent when the leader is new to the sender
+     * @property streams origins of streams that the leader is not known to have been told
      */
     @Serializable
     @SerialName("progress")
@@ -339,6 +342,35 @@
         @CborLabel(1) val entry: String,
         @CborLabel(2) val events: List<RequestEvent> = emptyList(),
         @CborLabel(3) val running: List<RunningRequest> = emptyList(),
+        @CborLabel(4) val streams: List<StreamRecord> = emptyList(),
+    ) : PeerMessage
+
+    /**
+     * Asks the leader for the origin of a stream that a client resumes.
+     *
+     * @property attemptId the client's attempt that delivered the first event; null if the client did not name it
+     * @property services services that may have begun the stream
+     * @property lifetimeMillis time in milliseconds for which clients may resume a stream of the route
+     */
+    @Serializable
+    @SerialName("find_stream")
+    public data class FindStream(
+        @CborLabel(1) val attemptId: String?,
+        @CborLabel(2) val services: Set<String>,
+        @CborLabel(3) val lifetimeMillis: Long,
+    ) : PeerMessage
+
+    /**
+     * Answers [FindStream].
+     *
+     * @property origin null if it is not known
+     * @property mayBeReported true if an entry instance may still report the origin, because the leader is new
+     */
+    @Serializable
+    @SerialName("find_stream_reply")
+    public data class FindStreamReply(
+        @CborLabel(1) val origin: StreamOrigin? = null,
+        @CborLabel(2) val mayBeReported: Boolean = false,
     ) : PeerMessage
 
     /** Asks the load delegate of engine [server] to load an adapter, of at least [version] if that is not null. */
