--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -91,6 +91,9 @@
     internal val runningRequests: Int
         get() = termState.find(replicaView().term)?.let { synchronized(lock) { it.dispatcher.runningRequests } } ?: 0
 
+    /** Time at which this instance was elected in the current term; null if it does not lead or has only just been elected. */
+    internal val electedAt: Duration? get() = termState.find(replicaView().term)?.electedAt
+
     override suspend fun start() {
         scope.launchPeriodically("dispatch", TICK_INTERVAL) { tick() }
         scope.launchSupervised("admission queue") { recordProgress ->
@@ -342,6 +345,7 @@
         if (now - term.beliefsLoggedAt < BELIEF_LOG_INTERVAL) return
         term.beliefsLoggedAt = now
         log.info("requests_believed_running", "count" to runningRequests, "term" to term.number)
+        logLoadCapacity(term, now)
         val entries = watchResponder.entryCounts()
         for (usage in synchronized(lock) { term.dispatcher.takeLimitUsage() }) {
             log.info(
@@ -357,6 +361,24 @@
         }
     }
 
+    /** Logs what would keep a request from having its adapter loaded. */
+    private fun logLoadCapacity(
+        term: LeaderTerm,
+        now: Duration,
+    ) {
+        val capacity = synchronized(lock) { term.dispatcher.loadCapacity(now) }
+        log.info(
+            "load_capacity",
+            "in_transit" to capacity.inTransit,
+            "reserved" to capacity.reserved,
+            "limit" to capacity.limit,
+            "engines" to capacity.engines,
+            "orderable" to capacity.orderable,
+            "with_slot" to capacity.withSlot,
+            "term" to term.number,
+        )
+    }
+
     private fun takeOverOrders(
         term: LeaderTerm,
         now: Duration,
