--- a/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
@@ -23,6 +23,9 @@
         LEAVING,
     }
 
+    /** When the slot was last reserved. */
+    var reservedAt: Duration = lastUsedAt
+
     /** Requests in flight that use the adapter. */
     var inFlight = 0
 
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.policy.AdapterSlot.State
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -112,13 +113,16 @@
     }
 
     /**
-     * True if the weight store may be asked for another adapter. Loads that no engine has accepted yet do not use the store, but are limited
-     * as well, so that a leader whose orders are late does not start more of them than it can finish.
+     * True if the weight store may be asked for another adapter. Loads whose orders are late do not use the store yet, but all that no
+     * engine has accepted are limited as well, so that a leader does not start more of them than it can finish.
      */
     private fun mayFetch(
         engines: Int,
         now: Duration,
-    ): Boolean = concurrentLoads(engines).let { inTransit(now) < it && reservedCount() < it }
+    ): Boolean = concurrentLoads(engines).let { inTransit(now) + orderedSince(now - LATE_ORDER) < it && reservedCount() < it }
+
+    /** Adapters whose load has been reserved since [time] and not been accepted yet. */
+    private fun orderedSince(time: Duration): Int = fleet.servers.sumOf { it.reservedCount(since = time) }
 
     /** Adapters on their way from the weight store. */
     private fun inTransit(now: Duration): Int = fleet.servers.sumOf { it.inTransitCount(now) }
@@ -159,6 +163,7 @@
         slot.state = State.RESERVED
         slot.version = version
         slot.lastUsedAt = now
+        slot.reservedAt = now
         return LoadOrder(server.report.id, server.report.address, model, adapter, version, evict?.adapter)
     }
 
@@ -248,5 +253,8 @@
     private companion object {
         /** Evicting an adapter that was unused for this many load times has no cost. */
         const val EVICTION_AGE_FACTOR = 8
+
+        /** An engine answers an order within a few milliseconds; one that takes longer is held up at the leader or lost. */
+        val LATE_ORDER = 100.milliseconds
     }
 }
