Count the loads that use the weight store in one pass

Each decision on an adapter that no engine holds went over all slots of all engines three times, and twice over those of each engine that may load, on a leader that is short of processor time.

--- a/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
@@ -31,6 +31,8 @@
 
     fun isIdle(now: Duration): Boolean = state == State.LOADED && inFlight <= 0 && now >= readyAt
 
+    fun isLoading(now: Duration): Boolean = state == State.RESERVED || now < readyAt
+
     /** True if the server has accepted the load and it has not ended. */
     fun isInTransit(now: Duration): Boolean = state != State.RESERVED && now < readyAt
 }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -76,14 +76,13 @@
 
     fun isWarm(adapter: String): Boolean = adapter in recentlyEvicted
 
-    fun loadingCount(now: Duration): Int = inTransitCount(now) + reservedCount()
+    fun loadingCount(now: Duration): Int = adapterSlots.values.count { it.isLoading(now) }
 
     /** Adapters that the server is loading. */
     fun inTransitCount(now: Duration): Int = adapterSlots.values.count { it.isInTransit(now) }
 
-    /** Adapters whose load has been reserved since [since] and that the server has not accepted yet. */
-    fun reservedCount(since: Duration = Duration.ZERO): Int =
-        adapterSlots.values.count { it.state == State.RESERVED && it.reservedAt >= since }
+    /** Adapters whose load the server has not accepted yet. */
+    fun reservedCount(): Int = adapterSlots.values.count { it.state == State.RESERVED }
 
     /** The least recently used idle adapter, or null if all adapters are in use. */
     fun evictionCandidate(now: Duration): AdapterSlot? = adapterSlots.values.filter { it.isIdle(now) }.minByOrNull { it.lastUsedAt }
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -119,10 +119,25 @@
     private fun mayFetch(
         engines: Int,
         now: Duration,
-    ): Boolean = concurrentLoads(engines).let { inTransit(now) + orderedSince(now - LATE_ORDER) < it && reservedCount() < it }
+    ): Boolean {
+        val limit = concurrentLoads(engines)
+        var counted = 0
+        var reserved = 0
+        // One pass, since each decision on an adapter that no engine holds asks for it.
+        for (server in fleet.servers) {
+            for (slot in server.adapterSlots.values) {
+                if (slot.state == State.RESERVED) reserved++
+                if (slot.isInTransit(now) || isOrdered(slot, now)) counted++
+            }
+        }
+        return counted < limit && reserved < limit
+    }
 
-    /** Adapters whose load has been reserved since [time] and not been accepted yet. */
-    private fun orderedSince(time: Duration): Int = fleet.servers.sumOf { it.reservedCount(since = time) }
+    /** True if the load of [slot] has not been accepted yet, but is expected to be at any moment. */
+    private fun isOrdered(
+        slot: AdapterSlot,
+        now: Duration,
+    ): Boolean = slot.state == State.RESERVED && now - slot.reservedAt <= LATE_ORDER
 
     /** Adapters on their way from the weight store. */
     private fun inTransit(now: Duration): Int = fleet.servers.sumOf { it.inTransitCount(now) }
