--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -7,6 +7,7 @@
 import anvilslip.policy.ServingWorkspace
 import anvilslip.policy.SseEventBuffer
 import anvilslip.policy.StreamOrigin
+import anvilslip.policy.StreamRecord
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -72,8 +73,15 @@
     var lastBreakAt: Duration? = null
     var lastTerm: Long? = null
 
-    /** Time for which the client may resume the stream. */
-    fun resumableFor(now: Duration): Duration = startedAt + maxOf(request.timeout ?: route.timeout, route.timeout) + RESUME_MARGIN - now
+    /** The record of the stream, which began at [origin] and whose first event the attempt [attemptId] delivered. */
+    fun streamRecord(
+        attemptId: String,
+        origin: StreamOrigin,
+        now: Duration,
+    ): StreamRecord {
+        val resumableUntil = startedAt + maxOf(request.timeout ?: route.timeout, route.timeout) + RESUME_MARGIN
+        return StreamRecord(attemptId, origin, (resumableUntil - now).inWholeMilliseconds)
+    }
 
     /** Records that the stream began at [origin], so that only servers like that one may resume it. */
     fun bindTo(origin: StreamOrigin) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -13,7 +13,6 @@
 import anvilslip.policy.ServingConfiguration
 import anvilslip.policy.ServingRoute
 import anvilslip.policy.ServingWorkspace
-import anvilslip.policy.StreamRecord
 import anvilslip.state.AdapterName
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -110,9 +109,7 @@
             return fail(exchange, UNAVAILABLE, "refused_unknown_origin", retryAfter)
         }
         exchange.bindTo(origin)
-        exchange.request.resumedAttemptId?.let {
-            progress.recordStream(StreamRecord(it, origin, exchange.resumableFor(clock.elapsed()).inWholeMilliseconds))
-        }
+        exchange.request.resumedAttemptId?.let { progress.recordStream(exchange.streamRecord(it, origin, clock.elapsed())) }
         return null
     }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -9,7 +9,6 @@
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RequestStep
 import anvilslip.policy.StreamOrigin
-import anvilslip.policy.StreamRecord
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -158,7 +157,7 @@
         val origin = StreamOrigin(exchange.service, attempt.softwareVersion)
         exchange.bindTo(origin)
         val attemptId = exchange.request.attemptId ?: return
-        progress.recordStream(StreamRecord(attemptId, origin, exchange.resumableFor(clock.elapsed()).inWholeMilliseconds))
+        progress.recordStream(exchange.streamRecord(attemptId, origin, clock.elapsed()))
     }
 
     private companion object {
