Name the adapter in the admission log, and count adapters that are never served in the replay of the dispatcher

The refusals of one adapter could not be followed on the leader, and the replay of the dispatcher did not tell which adapters are never served, nor why. No decision changes.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionLog.kt
@@ -37,6 +37,7 @@
             "entry" to request.entry,
             "number" to request.number,
             "priority" to request.priority,
+            "adapter" to request.adapter,
             "decision" to nameOf(decision),
             "server" to (decision as? DispatchDecision.Send)?.server,
             "reason" to refusal?.reason?.name?.lowercase(),
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -35,6 +35,8 @@
     val predictionError: Double = 0.0,
     /** Mean time in milliseconds until an answer begins. */
     val meanWait: Double = 0.0,
+    /** How adapters that were requested again and again were served. */
+    val adapterStarvation: AdapterStarvation = AdapterStarvation.NONE,
     /** Requests of an engine in four seconds beyond what its limit allows, for the worst such time; 0 if none. */
     val requestsOverLimit: Double = 0.0,
 ) {
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -114,6 +114,7 @@
     ) {
         if (reason == DispatchRefusal.OVER_LIMIT) request.isOverLimit = true
         request.refusals++
+        request.lastRefusal = reason
         val left = request.deadline - time.now
         val pause = if (request.isImpatient) IMPATIENT_PAUSE else minOf(retryAfter, left / 3)
         if (request.refusals <= request.retries && left.isPositive()) time.at(time.now + pause) { send(request) }
@@ -157,6 +158,7 @@
             fetches = fetches * PERCENT / requests.size,
             worthOfAll = worth(requests),
             byPriority = requests.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
+            adapterStarvation = AdapterStarvation.of(withinLimit, answered.size.toDouble() / withinLimit.size),
             readShare = prefilledTokens.toDouble() / answered.sumOf { it.promptTokens },
             meanWait =
                 answered
--- a/standin/src/main/kotlin/anvilslip/standin/TrialRequest.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialRequest.kt
@@ -1,5 +1,6 @@
 package anvilslip.standin
 
+import anvilslip.policy.DispatchRefusal
 import kotlin.time.Duration
 
 /** A client request in a [DispatchTrial], including its retries. */
@@ -25,6 +26,7 @@
     val promptTokens: Int = parts.sumOf { it.second }
     val charge: Long = (promptTokens + outputTokens).toLong()
     var refusals = 0
+    var lastRefusal: DispatchRefusal? = null
     var isOverLimit = false
     var answeredAt: Duration? = null
 }
