--- a/standin/src/main/kotlin/anvilslip/standin/AdapterStarvation.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/AdapterStarvation.kt
@@ -31,7 +31,12 @@
             val byAdapter = requests.filter { it.adapter != null }.groupBy { it.adapter }.values
             val repeated = byAdapter.filter { it.size >= MIN_REQUESTS && spanSeconds(it) >= MIN_SPAN_SECONDS }
             val neverServed = repeated.filter { of -> of.all { it.answeredAt == null } }
-            val refusals = neverServed.flatten().mapNotNull { it.lastRefusal }.groupingBy { it }.eachCount()
+            val refusals =
+                neverServed
+                    .flatten()
+                    .mapNotNull { it.lastRefusal }
+                    .groupingBy { it }
+                    .eachCount()
             return AdapterStarvation(repeated.size, neverServed.size, repeated.sumOf { (1 - served).pow(it.size) }, refusals)
         }
 
