Load an adapter only on servers that do not hold it

Cause: holders are compared by the time until they answer, servers to load on by that and the load, and the server that wins the second comparison may hold the adapter itself: if another holder is faster but busier, and the adapter counts as quick to reload there, because it was evicted from there once. The order wastes a turn; its acceptance moves the expected number of orders of that server.

Such servers are no longer candidates.

--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -58,7 +58,11 @@
         now: Duration,
     ): DispatchServer? {
         if (!mayOrder) return null
-        val eligible = candidates.filter { canOrder(it, now) && it.loadingCount(now) < options.loadsPerServer && canLoad(it, adapter, now) }
+        val eligible =
+            candidates.filter {
+                canOrder(it, now) && it.loadingCount(now) < options.loadsPerServer &&
+                    canLoad(it, request.model, adapter, now)
+            }
         val warm = eligible.filter { it.isWarm(adapter) }
         val cold = eligible.takeIf { mayFetch(candidates.size, now) }.orEmpty()
         return (warm + cold).minByOrNull {
@@ -87,9 +91,11 @@
 
     private fun canLoad(
         server: DispatchServer,
+        model: String?,
         adapter: String,
         now: Duration,
     ): Boolean {
+        if (model != null && holdsVersion(server, adapter, fleet.currentVersion(model, adapter))) return false
         val current = server.adapterSlots[adapter]
         return if (current != null) current.isIdle(now) else hasSlot(server, now)
     }
