Pass requests on through another entry instance while the servers cannot be reached

Cause: an entry instance has one way to a server, its own link. It tried one server after the other until its retries were used up, told the leader that each was unreachable, and refused; that the other instances reached them did not help its clients.

An entry instance now counts as isolated once connections to three servers have failed with none in between that was established, and sends requests through the relay of another entry instance until one succeeds again. Server, limits, retries, versions and streams are decided as before by the instance that has the client; the relay only passes bytes. A request that no byte of was sent is marked as such on the way back, so that "not run" stays true, and one whose exchange broke has an unknown outcome as before.

Failures of an isolated instance say nothing of the servers: it reports such a request as not run, not its server as unreachable, and a refused connection is not taken for a crash, which would have put its requests under suspicion.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -38,6 +38,10 @@
     private val clock: Clock = SystemClock,
     /** Called on the thread of a connection for each answer that does not name the request that was waiting; must not block. */
     private val onForeignAnswer: (ForeignAnswer) -> Unit = {},
+    /** Called after each attempt to connect to an address; tells whether it has succeeded. Must not block. */
+    private val onConnect: (address: String, isConnected: Boolean) -> Unit = { _, _ -> },
+    /** Name in the service registry, for an instance with several clients. */
+    serviceName: String = NAME,
 ) : Service {
     /** A pooled connection. */
     private class Pooled(
@@ -45,8 +49,8 @@
         val expiresAt: Duration,
     )
 
-    override val name: String = NAME
-    private val log = EventLogger(NAME)
+    override val name: String = serviceName
+    private val log = EventLogger(serviceName)
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     private val idleConnections = ConcurrentHashMap<String, ConcurrentLinkedDeque<Pooled>>()
     private val bootstrap =
@@ -129,6 +133,15 @@
         }
     }
 
+    /** Returns true if a connection to [address] can be established; closes it at once. */
+    public suspend fun canConnect(address: String): Boolean =
+        try {
+            connect(address).close()
+            true
+        } catch (_: HttpClientException.NotSent) {
+            false
+        }
+
     /** Returns true if [address] refuses connections, as it does after the process that listened there has ended. */
     public suspend fun isRefused(address: String): Boolean =
         try {
@@ -139,6 +152,18 @@
         }
 
     private suspend fun connect(address: String): ClientConnection {
+        val connection =
+            try {
+                establish(address)
+            } catch (e: HttpClientException.NotSent) {
+                onConnect(address, false)
+                throw e
+            }
+        onConnect(address, true)
+        return connection
+    }
+
+    private suspend fun establish(address: String): ClientConnection {
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
         if (port == null) throw HttpClientException.NotSent("'$address' is not host:port")
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -211,12 +211,14 @@
             if (current != previous) log.info("entry_count_changed", "control" to control, "count" to current, "previous" to previous)
         }
 
+    /** Lets the reports of servers age only while control instances answer; to be called with each answer. */
+    public fun recordContact(): Unit = synchronized(fleet) { contact.recordAnswer(clock.elapsed()) }
+
     /** Records an answer of [control], which reports [hosts] as entry instances in use, or no change of them if they are null. */
     public fun observeEntryHosts(
         control: String,
         hosts: List<String>?,
     ) {
-        synchronized(fleet) { contact.recordAnswer(clock.elapsed()) }
         synchronized(reportedEntries) {
             val previous = reportedEntries.all
             reportedEntries.record(control, hosts, clock.elapsed())
@@ -308,7 +310,7 @@
     public fun hasDirectFleetChangeSince(revision: Long): Boolean =
         synchronized(fleet) { fleet.hasChangedSince(revision, directOnly = true) }
 
-    /** The time by which the reports of servers age. Differs from that of [clock] only where [observeEntryHosts] is used. */
+    /** The time by which the reports of servers age. Differs from that of [clock] only where [recordContact] is used. */
     private fun fleetTime(): Duration = contact.time(clock.elapsed())
 
     private fun publishServerChange(
--- a/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
@@ -25,6 +25,8 @@
 public class CrashDetector(
     private val client: HttpClient,
     private val clusterView: ClusterView,
+    /** True while this instance cannot reach the servers, so that a refused connection does not show that one has ended. */
+    private val isIsolated: () -> Boolean = { false },
 ) : Service {
     override val name: String = NAME
     private val log = EventLogger("servers")
@@ -67,7 +69,7 @@
         incarnation: String,
         address: String,
     ): Boolean {
-        val refused = client.isRefused(address)
+        val refused = client.isRefused(address) && !isIsolated()
         log.info("server_checked", "server" to incarnation, "address" to address, "refused" to refused)
         return refused
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -56,15 +56,26 @@
             requestMetrics::recordConfigurationVersion,
         )
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
-    private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record))
+    private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, ::recordConnect))
+    private val reachability = ServerReachability(clock) { clusterView.servers().size }
     private val mayDelegate = settings.delegateLoads && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
     private val usesDelegates = settings.clients != null && mayDelegate
     private val watch =
         kernel.install(
-            WatchService(network, clusterView, settings.host, settings.peerPort, clock, needsEntryHosts = usesDelegates, entry = ::self),
+            WatchService(
+                network,
+                clusterView,
+                settings.host,
+                settings.peerPort,
+                clock,
+                needsEntryHosts = settings.clients != null,
+                keepsServers = usesDelegates,
+                entry = ::self,
+            ),
         )
     private val bodies = BodyBudget()
     private var frontend: HttpServer? = null
+    private var relay: HttpServer? = null
     private var forwarder: Forwarder? = null
 
     @Volatile
@@ -103,6 +114,7 @@
         delay(schedule.acceptPeriod)
         forwarder?.isRejecting = true
         server.awaitIdle(schedule.completionPeriod)
+        relay?.awaitIdle(RELAY_COMPLETION)
         server.stopAccepting()
     }
 
@@ -149,6 +161,11 @@
             onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
 
+    private fun recordConnect(
+        address: String,
+        isConnected: Boolean,
+    ) = reachability.recordConnect(address, isConnected)
+
     private fun countSent(
         peer: String,
         message: PeerMessage,
@@ -250,8 +267,8 @@
         val withdraw = { number: Long -> progress.recordStep(number, RequestStep.ENDED) }
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock, withdraw, delegates)
         val availability = ServerAvailability(clusterView, clock)
-        val sender = RequestSender(client, dialects.requests, progress, availability, clock)
-        val crashDetector = kernel.install(CrashDetector(client, clusterView))
+        val sender = RequestSender(installTransport(), dialects.requests, progress, availability, clock, reachability::isIsolated)
+        val crashDetector = kernel.install(CrashDetector(client, clusterView, reachability::isIsolated))
         val clientHandler =
             Forwarder(
                 self = ForwarderIdentity(settings.host, settings.zone),
@@ -278,6 +295,29 @@
         }
     }
 
+    /** The way to the backend servers: directly, or through the relay of another entry instance. */
+    private fun installTransport(): ServerTransport {
+        val direct = ServerTransport(client::open)
+        val token = RelayProtocol.token(settings.secretFile?.readBytes() ?: DEFAULT_SECRET)
+        val port = settings.relayPort ?: return direct
+        val handler = RelayHandler(direct, token, reachability, ::isServer, ::isStopping)
+        val address = Address(settings.host, port)
+        relay = kernel.install(HttpServer("relay", address, handler, threads = 1, currentOptions = ::relayOptions, bodies = bodies))
+        kernel.install(ServerProbe(client, clusterView, reachability))
+        // Connections to relays tell nothing of those to servers, so they have a client of their own.
+        val relayClient =
+            kernel.install(
+                HttpClient(RELAY_CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, serviceName = "relay-client"),
+            )
+        val relays = RelaySelection({ (clusterView.entryHosts - settings.host).map { "$it:$port" } }, clock)
+        return RelayingTransport(direct, ServerTransport(relayClient::open), reachability, relays, token)
+    }
+
+    private fun isServer(address: String): Boolean = clusterView.servers().any { it.address == address }
+
+    /** Requests of clients, with the headers that relays need. */
+    private fun relayOptions(): HttpServerOptions = clientOptions().let { it.copy(maxHeaderBytes = it.maxHeaderBytes + RELAY_HEADER_BYTES) }
+
     private fun installDelegates(
         local: LocalDispatch,
         progress: ProgressReporter,
@@ -333,7 +373,14 @@
         /** Used by every instance that has no secret file, so that they can talk to each other. */
         val DEFAULT_SECRET = "anvilslip".toByteArray()
         val CONNECT_TIMEOUT: Duration = 500.milliseconds
+
+        /** Time for relayed requests that outlast those of this instance's own clients. */
+        val RELAY_COMPLETION: Duration = 500.milliseconds
+        val RELAY_CONNECT_TIMEOUT: Duration = 200.milliseconds
         val MAX_IDLE: Duration = 3.seconds
+
+        /** Room for the headers of a relayed request beside those of the client. */
+        const val RELAY_HEADER_BYTES = 1024
         val PEER_SILENCE: Duration = 2.seconds
 
         /** Documents can be large, so snapshots are frequent and few entries are kept in memory and in the log. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -1,6 +1,5 @@
 package anvilslip.gateway
 
-import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpClientException
 import anvilslip.entry.http.HttpClientRequest
 import anvilslip.entry.http.HttpClientResponse
@@ -15,11 +14,13 @@
 
 /** Sends a request to one backend server and relays the response to the client. */
 internal class RequestSender(
-    private val client: HttpClient,
+    private val transport: ServerTransport,
     private val dialect: RequestDialect,
     private val progress: ProgressReporter,
     private val availability: ServerAvailability,
     private val clock: Clock,
+    /** True while this instance cannot reach the servers, so that its failures say nothing of them. */
+    private val isIsolated: () -> Boolean = { false },
 ) {
     suspend fun send(
         exchange: Exchange,
@@ -31,10 +32,10 @@
         val sentAt = clock.elapsed()
         val response =
             try {
-                client.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
+                transport.open(attempt.decision.address, call, exchange.deadline - clock.elapsed() + READ_TIMEOUT_MARGIN)
             } catch (e: HttpClientException.NotSent) {
                 exchange.gate = null
-                progress.recordStep(attempt.number, RequestStep.UNREACHABLE)
+                progress.recordStep(attempt.number, if (isIsolated()) RequestStep.NOT_RUN else RequestStep.UNREACHABLE)
                 return AttemptResult.NotRun(e.message ?: "not sent")
             } catch (e: HttpClientException.IncompleteResponse) {
                 return AttemptResult.Broken(e.message ?: "broken")
--- a/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/WatchService.kt
@@ -38,6 +38,8 @@
     context: CoroutineContext = Dispatchers.Default,
     /** Whether this instance needs the hosts of the other entry instances. */
     private val needsEntryHosts: Boolean = false,
+    /** Whether servers stay known while no control instance answers. */
+    private val keepsServers: Boolean = false,
     /** Returns the state of this entry instance to report; null on a control instance. */
     private val entry: () -> EntryInstance?,
 ) : Service {
@@ -229,6 +231,7 @@
         clusterView.recordControlHosts(reply.controlHosts.ifEmpty { positionAt(control).controlHosts })
         if (entry() != null) clusterView.observeEntryCount(control, reply.entryCount)
         if (needsEntryHosts) clusterView.observeEntryHosts(control, reply.entryHosts)
+        if (keepsServers) clusterView.recordContact()
     }
 
     private fun applyDocument(
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -57,7 +57,7 @@
  * without a leader because of the limit; [localDecision] replaces the decision on every request. The servers are in [zones], if given, and
  * [onAdmitted] is called after each decision, before the request is sent. [retryReserve] is the number of retries allowed, [connectTimeout]
  * that of connections to servers; an admission takes [admissionTime] and holds the request for [holdMillis]; [demands] records all requests
- * for admission.
+ * for admission. [onConnect] is told of connections to servers, and [transport] wraps the way to them.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -72,6 +72,8 @@
     localDecision: DispatchDecision? = null,
     zones: List<String> = emptyList(),
     onAdmitted: (ClusterView) -> Unit = {},
+    onConnect: (address: String, isConnected: Boolean) -> Unit = { _, _ -> },
+    transport: (ServerTransport) -> ServerTransport = { it },
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
     val clusterView = ClusterView({ configuration.right() }, SystemClock, setOf("127.0.0.1"), 1.seconds)
@@ -89,7 +91,7 @@
             HybridClock(SystemClock),
         )
     val progress = ProgressReporter("e", network, clusterView)
-    val client = HttpClient(connectTimeout = connectTimeout, threads = 1)
+    val client = HttpClient(connectTimeout = connectTimeout, threads = 1, onConnect = onConnect)
     val availability = ServerAvailability(clusterView, SystemClock)
 
     var refused = 0
@@ -117,7 +119,7 @@
             admit = { demand -> admit(demand).also { onAdmitted(clusterView) } },
             local = LocalDispatch(clusterView, progress::countRunning),
             progress = progress,
-            sender = RequestSender(client, TestDialect, progress, availability, senderClock),
+            sender = RequestSender(transport(ServerTransport(client::open)), TestDialect, progress, availability, senderClock),
             availability = availability,
             crashDetector = CrashDetector(client, clusterView),
             streams = StreamResolver(StreamRegistry(SystemClock), network::call, { null }, SystemClock),
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettings.kt
@@ -59,6 +59,11 @@
     val delegateLoads: Boolean = false,
     /** Number of ready engines of a service from which its requests wait in order at the leader; 0 if they never do. */
     val queueFromEngines: Int = 0,
+    /**
+     * Port on which an entry instance passes requests on for others that cannot reach the backend servers; the same on all instances. Null
+     * if none does.
+     */
+    val relayPort: Int? = null,
     /** All availability zones, to which an evacuation can apply; empty if any zone may be named. */
     val zones: Set<String> = emptySet(),
 ) {
--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -27,14 +27,16 @@
         folder: Path,
     ): GatewaySettings {
         val defaults = GatewaySettings("", "", "", "", 0, 0, emptySet())
+        val peerPort = root.int("peerPort", PORTS) ?: 0
+        val metricsPort = root.int("metricsPort", PORTS) ?: 0
         val settings =
             GatewaySettings(
                 instance = root.string("instance").orEmpty(),
                 host = root.string("host").orEmpty(),
                 zone = root.string("zone").orEmpty(),
                 region = root.string("region").orEmpty(),
-                peerPort = root.int("peerPort", PORTS) ?: 0,
-                metricsPort = root.int("metricsPort", PORTS) ?: 0,
+                peerPort = peerPort,
+                metricsPort = metricsPort,
                 seeds = root.strings("seeds").map { it.substringBefore(':') }.toSet(),
                 clients = readAddress(root, "clients"),
                 readiness = readAddress(root, "readiness"),
@@ -57,6 +59,7 @@
                 capacity = root.double("capacity", CAPACITIES, defaults.capacity),
                 delegateLoads = root.bool("delegateLoads", defaults.delegateLoads),
                 queueFromEngines = root.int("queueFromEngines", 0..MAX_ENGINES, defaults.queueFromEngines)!!,
+                relayPort = root.int("relayPort", PORTS, firstFreePort(peerPort, metricsPort)),
                 zones = root.names("zones"),
             )
         root.reportUnknownKeys()
@@ -64,9 +67,16 @@
         findings.check(settings.clients != null || settings.control != null, root.place) { "needs 'clients' or 'control'" }
         findings.check(settings.control == null || settings.dataFolder != null, root.placeOf("dataFolder")) { "is needed for 'control'" }
         findings.check(settings.peerPort != settings.metricsPort, root.placeOf("metricsPort")) { "is the same as peerPort" }
+        findings.check(settings.relayPort !in setOf(settings.peerPort, settings.metricsPort), root.placeOf("relayPort")) { "is in use" }
         return settings
     }
 
+    /** The first port after [peerPort] that is not [metricsPort]. */
+    private fun firstFreePort(
+        peerPort: Int,
+        metricsPort: Int,
+    ): Int = if (peerPort + 1 == metricsPort) peerPort + 2 else peerPort + 1
+
     private fun readAddress(
         root: ObjectReader,
         key: String,
