Take no answer whose status is none of HTTP for an answer

Cause: the HTTP codec takes any number for a status, and the client connection took any head that the codec could read for an answer. A status outside 200 to 599 is now a malformed answer, as unreadable bytes are: the request may have run, its connection is closed, and it goes to another server only if it may run twice. Informational answers, 100 to 199, are skipped as before. The check is where all answers of servers are read, so that it holds for the own interface, orders, inventories and relayed requests as well.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -193,6 +193,7 @@
         message: HttpResponse,
     ) {
         if (message.decoderResult().isFailure || isJoined(message)) return fail(current, "malformed answer")
+        if (message.status().code() !in FINAL) return fail(current, "the status ${message.status().code()} is none of HTTP")
         if (isForeign(message)) return skip(current, message)
         phase = Phase.RECEIVING
         head = message
@@ -307,6 +308,7 @@
         private val BODILESS = setOf(204, 304)
         private val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}(\\s|$)")
         private val INFORMATIONAL = 100..199
+        private val FINAL = 200..599
 
         /** More than any server sends; without a limit they could come for ever. */
         private const val MAX_INFORMATIONAL = 16
