Count a refused connection as a crash only if another server accepts one

Cause: a refused connection after a broken exchange was taken as proof that the process has ended; it may as well be the way to it. That the instance is isolated is known only after three servers have failed, and most requests break before. A refusal now counts only if one of two other servers accepts a connection; with no other server it counts as before.

CrashDetectorSpec: the case with other servers that refuse as well failed before.

--- a/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
@@ -20,7 +20,7 @@
 /**
  * Finds out whether a backend server crashed when an exchange with it broke. A process that has ended refuses connections; one that
  * reset a connection or answered with garbage accepts them, and one that is cut off does neither. Servers that are leaving end as
- * planned and do not count.
+ * planned and do not count; nor does a refusal while other servers refuse as well, which shows that this instance is cut off.
  */
 public class CrashDetector(
     private val client: HttpClient,
@@ -69,15 +69,25 @@
         incarnation: String,
         address: String,
     ): Boolean {
-        val refused = client.isRefused(address) && !isIsolated()
-        log.info("server_checked", "server" to incarnation, "address" to address, "refused" to refused)
-        return refused
+        val refused = client.isRefused(address)
+        val isCrash = refused && !isIsolated() && reachesAnother(address)
+        log.info("server_checked", "server" to incarnation, "address" to address, "refused" to refused, "crash" to isCrash)
+        return isCrash
+    }
+
+    /** False if other servers cannot be connected to either, so that the fault is rather in this instance's own links. */
+    private suspend fun reachesAnother(address: String): Boolean {
+        val others = clusterView.servers().filter { it.phase == ServerPhase.READY && it.address != address }
+        return others.isEmpty() || others.shuffled().take(COMPARED_SERVERS).any { client.canConnect(it.address) }
     }
 
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "crash-detector"
 
+        /** Other servers that are tried; two that have ended at the same time are seldom found by chance. */
+        private const val COMPARED_SERVERS = 2
+
         /** A refusal arrives within a round trip; a server that is cut off must not delay the next attempt. */
         private val MAX_WAIT = 100.milliseconds
     }
--- a/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
@@ -40,9 +40,13 @@
             checks: Int = 1,
             checkedBy: HttpClient = client,
             wait: Duration = 500.milliseconds,
+            others: List<String> = emptyList(),
         ): List<String> {
             val clusterView = ClusterView({ ServingConfiguration(1).right() }, SystemClock, emptySet(), 1.seconds)
             clusterView.recordReport(ServerReport("s", "app", address, "z", phase, startedAtMillis = 7), direct = true)
+            others.forEachIndexed { at, other ->
+                clusterView.recordReport(ServerReport("o$at", "app", other, "z", ServerPhase.READY, startedAtMillis = 7), direct = true)
+            }
             val detector = CrashDetector(checkedBy, clusterView)
             val found = CopyOnWriteArrayList<String>()
             coroutineScope {
@@ -63,6 +67,17 @@
                 crashesFound(unusedAddress(), checks = 3, wait = 6.seconds) shouldContainExactly listOf("s@7", "s@7", "s@7")
             }
 
+            it("is a crash if another server accepts connections") {
+                ScriptedServer { _, _ -> null }.use {
+                    crashesFound(unusedAddress(), others = listOf(it.address)) shouldContainExactly
+                        listOf("s@7")
+                }
+            }
+
+            it("is no crash if the other servers refuse connections as well, as they do to an instance that is cut off from all") {
+                crashesFound(unusedAddress(), others = List(3) { unusedAddress() }).shouldBeEmpty()
+            }
+
             it("is no crash if the server still accepts connections") {
                 ScriptedServer { _, _ -> null }.use { crashesFound(it.address).shouldBeEmpty() }
             }
