--- a/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
+++ b/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
@@ -42,6 +42,13 @@
                 defaults.coldOvershoot to defaults.coldSlack shouldBe (1.0 to 0.0)
             }
 
+            it("reads the port of the relay, by default the first free one after that for other instances") {
+                read(validSettings).getOrNull()!!.relayPort shouldBe 7602
+                read(validSettings.replace("7601", "7615")).getOrNull()!!.relayPort shouldBe 7601
+                read(validSettings.replace("{", "{\"relayPort\": 7700, ")).getOrNull()!!.relayPort shouldBe 7700
+                findings(validSettings.replace("{", "{\"relayPort\": 7601, ")) shouldBe listOf("is in use")
+            }
+
             it("requires clients or control") {
                 findings(validSettings.replace("\"clients\": \"10.0.0.1:80\", ", "")) shouldBe listOf("needs 'clients' or 'control'")
             }
