Pass no headers of the relay on from servers, which would say that a request has not run

Found by reading: a server that answers with the header by which a relay says that no byte was sent would have made a request that ran look as if it had not. Guarded by PartitionedFromServersSpec.

--- a/gateway/src/main/kotlin/anvilslip/gateway/RelayHandler.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RelayHandler.kt
@@ -29,18 +29,12 @@
         responder: HttpResponder,
     ) {
         val address = call.header(RelayProtocol.SERVER)
+        val isInstance = RelayProtocol.isValid(call.header(RelayProtocol.TOKEN), token)
         when {
-            !RelayProtocol.isValid(
-                call.header(RelayProtocol.TOKEN),
-                token,
-            ) -> responder.respond(notSent(call, "the token is wrong", FORBIDDEN))
-
+            !isInstance -> responder.respond(notSent(call, "the token is wrong", FORBIDDEN))
             address == null || !isServer(address) -> responder.respond(notSent(call, "no server is known at $address"))
-
             isStopping() -> responder.respond(notSent(call, "this instance is about to stop"))
-
             reachability.isIsolated -> responder.respond(notSent(call, "no server can be reached from here"))
-
             else -> relay(address, call, responder)
         }
     }
@@ -65,7 +59,7 @@
         response: HttpClientResponse,
         responder: HttpResponder,
     ) {
-        val headers = response.headers.filterKeys { it !in RelayProtocol.HOP_HEADERS && it != CONTENT_TYPE }
+        val headers = response.headers.filterKeys { isPassedOn(it) && it != CONTENT_TYPE }
         responder.startStream(response.status, response.contentType ?: UNKNOWN_TYPE, headers)
         try {
             while (true) responder.sendPart(response.read() ?: break)
@@ -76,7 +70,7 @@
     }
 
     private fun toClientRequest(call: HttpServerRequest): HttpClientRequest {
-        val headers = call.headers.filterKeys { it !in RelayProtocol.HOP_HEADERS && !it.startsWith(RELAY_PREFIX) }
+        val headers = call.headers.filterKeys(::isPassedOn)
         return HttpClientRequest(
             method = call.method,
             path = call.target,
@@ -88,6 +82,9 @@
         )
     }
 
+    /** False also for headers of the relay that a server sends, which would be taken for those of this instance. */
+    private fun isPassedOn(header: String): Boolean = header !in RelayProtocol.HOP_HEADERS && !header.startsWith(RelayProtocol.PREFIX)
+
     private fun correlationOf(call: HttpServerRequest): Correlation? {
         val name = call.header(RelayProtocol.CORRELATION) ?: return null
         return call.header(name)?.let { Correlation(name, it) }
@@ -108,7 +105,6 @@
         val PRINTABLE = ' '..'~'
         const val CONTENT_TYPE = "content-type"
         const val UNKNOWN_TYPE = "application/octet-stream"
-        const val RELAY_PREFIX = "anvilslip-relay-"
 
         /** The instance that asked closes its connection at the deadline of the request. */
         val READ_TIMEOUT: Duration = 60.seconds
--- a/gateway/src/main/kotlin/anvilslip/gateway/RelayProtocol.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RelayProtocol.kt
@@ -6,20 +6,23 @@
 
 /** Headers of requests that one entry instance passes on for another one, and of the answers. */
 internal object RelayProtocol {
+    /** What the names of these headers begin with. */
+    const val PREFIX = "anvilslip-relay-"
+
     /** Address of the backend server that the request is for. */
-    const val SERVER = "anvilslip-relay-server"
+    const val SERVER = "${PREFIX}server"
 
     /** Proof that the sender knows the secret of the instances. */
-    const val TOKEN = "anvilslip-relay-token"
+    const val TOKEN = "${PREFIX}token"
 
     /** Name of the header by which the answer is recognised; absent if it is not. */
-    const val CORRELATION = "anvilslip-relay-correlation"
+    const val CORRELATION = "${PREFIX}correlation"
 
     /** Present if the request needs a connection of its own. */
-    const val FRESH = "anvilslip-relay-fresh"
+    const val FRESH = "${PREFIX}fresh"
 
     /** In an answer: reason why no byte of the request was sent to the server. */
-    const val NOT_SENT = "anvilslip-relay-not-sent"
+    const val NOT_SENT = "${PREFIX}not-sent"
 
     /** Headers that concern one connection, and the Host, which the sender sets. */
     val HOP_HEADERS =
--- a/gateway/src/main/kotlin/anvilslip/gateway/RelayingTransport.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RelayingTransport.kt
@@ -77,7 +77,7 @@
             request.headers + mapOf(RelayProtocol.SERVER to address, RelayProtocol.TOKEN to token) +
                 listOfNotNull(
                     request.correlation?.let { RelayProtocol.CORRELATION to it.header },
-                    "1".takeIf { request.freshConnection }?.let { RelayProtocol.FRESH to it },
+                    if (request.freshConnection) RelayProtocol.FRESH to "1" else null,
                 )
         return HttpClientRequest(
             method = request.method,
--- a/gateway/src/test/kotlin/anvilslip/gateway/PartitionedFromServersSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/PartitionedFromServersSpec.kt
@@ -110,6 +110,18 @@
                 }
             }
 
+            it("has run if its server answers with the header by which relays say that it has not") {
+                val misleading =
+                    ScriptedServer {
+                        _,
+                        _,
+                        ->
+                        "HTTP/1.1 500 Failed\r\nid: 7\r\nanvilslip-relay-not-sent: x\r\nContent-Length: 4\r\n\r\nseat"
+                    }
+                withCutOff(misleading) { call -> call("/once/1") shouldStartWith "HTTP/1.1 500" }
+                misleading.requests.filter { "/once/" in it } shouldHaveSize 1
+            }
+
             it("does not get a truncated answer as if it were complete") {
                 val breaking =
                     ScriptedServer { head, socket ->
