--- a/gateway/src/test/kotlin/anvilslip/gateway/SimulatedEntries.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/SimulatedEntries.kt
@@ -93,6 +93,7 @@
             view.applyDocument(ConfigurationDocument(1, "text"))
             for (engine in engines.engines.values) view.recordReport(engine.report(), direct = false)
             view.observeEntryHosts(CONTROLS.first(), others)
+            view.recordContact()
             view.observeLeader(CONTROLS.first(), TERM)
             reachability.start()
             client.start()
