Compare a refused connection with up to eight other servers before it counts as a crash or not

It is a cut only if up to eight others, at least three, refuse as well. Whether the instance is known to be isolated no longer matters: if it is, the others refuse, and if they do not, it is not.

CrashDetectorSpec has the cases of most others crashed, and of too few others.

--- a/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/CrashDetector.kt
@@ -25,8 +25,6 @@
 public class CrashDetector(
     private val client: HttpClient,
     private val clusterView: ClusterView,
-    /** True while this instance cannot reach the servers, so that a refused connection does not show that one has ended. */
-    private val isIsolated: () -> Boolean = { false },
 ) : Service {
     override val name: String = NAME
     private val log = EventLogger("servers")
@@ -70,23 +68,24 @@
         address: String,
     ): Boolean {
         val refused = client.isRefused(address)
-        val isCrash = refused && !isIsolated() && reachesAnother(address)
+        val isCrash = refused && !refuseAll(address)
         log.info("server_checked", "server" to incarnation, "address" to address, "refused" to refused, "crash" to isCrash)
         return isCrash
     }
 
-    /** False if other servers cannot be connected to either, so that the fault is rather in this instance's own links. */
-    private suspend fun reachesAnother(address: String): Boolean {
+    /** True if no other server can be connected to either, so that the fault is rather in this instance's own links. */
+    private suspend fun refuseAll(address: String): Boolean {
         val others = clusterView.servers().filter { it.phase == ServerPhase.READY && it.address != address }
-        return others.isEmpty() || others.shuffled().take(COMPARED_SERVERS).any { client.canConnect(it.address) }
+        return others.size >= MIN_COMPARED && others.shuffled().take(MAX_COMPARED).none { client.canConnect(it.address) }
     }
 
     public companion object {
         /** Name in the service registry. */
         public const val NAME: String = "crash-detector"
 
-        /** Other servers that are tried; two that have ended at the same time are seldom found by chance. */
-        private const val COMPARED_SERVERS = 2
+        /** Fewer other servers may all have crashed by the same request. */
+        private const val MIN_COMPARED = 3
+        private const val MAX_COMPARED = 8
 
         /** A refusal arrives within a round trip; a server that is cut off must not delay the next attempt. */
         private val MAX_WAIT = 100.milliseconds
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -268,7 +268,7 @@
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock, withdraw, delegates)
         val availability = ServerAvailability(clusterView, clock)
         val sender = RequestSender(installTransport(), dialects.requests, progress, availability, clock, reachability::isIsolated)
-        val crashDetector = kernel.install(CrashDetector(client, clusterView, reachability::isIsolated))
+        val crashDetector = kernel.install(CrashDetector(client, clusterView))
         val clientHandler =
             Forwarder(
                 self = ForwarderIdentity(settings.host, settings.zone),
--- a/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/CrashDetectorSpec.kt
@@ -74,6 +74,17 @@
                 }
             }
 
+            it("is a crash if most other servers have crashed as well, as they do when a request that crashes them is repeated") {
+                ScriptedServer { _, _ -> null }.use { sound ->
+                    val others = List(4) { unusedAddress() } + sound.address
+                    crashesFound(unusedAddress(), others = others, wait = 6.seconds) shouldContainExactly listOf("s@7")
+                }
+            }
+
+            it("is a crash if there are too few other servers to compare it with") {
+                crashesFound(unusedAddress(), others = List(2) { unusedAddress() }, wait = 6.seconds) shouldContainExactly listOf("s@7")
+            }
+
             it("is no crash if the other servers refuse connections as well, as they do to an instance that is cut off from all") {
                 crashesFound(unusedAddress(), others = List(3) { unusedAddress() }).shouldBeEmpty()
             }
