Revert the precedence of adapters that have been refused for long

Suspected, not shown: after a loss of all control instances nearly every adapter counts as overdue, so that the limit on their loads becomes that of all loads; and requests that wait for seconds are tried every 25 ms over all engines, by a leader that is short of processor time.

--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionControl.kt
@@ -165,10 +165,10 @@
         now: Duration,
     ) {
         while (true) {
-            val waiting = queue.oldest { dispatcher.isOverdue(it.request, now) } ?: queue.next() ?: return
+            val waiting = queue.next() ?: return
             val admission = dispatcher.admit(waiting.requestAt(now), now)
             val refusal = admission.refusal()
-            if (refusal != null && mayWaitForPlace(queue, refusal, waiting.request, waiting.since, waiting.deadlineAt, now)) {
+            if (refusal != null && mayWait(queue, refusal, waiting.request, waiting.askedAt, now)) {
                 queue.block(waiting, now + options.placeRetry)
             } else {
                 queue.remove(waiting)
@@ -248,26 +248,9 @@
             refusal.reason in QUEUED_REASONS && !isLimitedBeyondTarget(refusal, request) &&
                 canStartBeforeDeadline(queue, request, askedAt, now)
         } else {
-            mayWaitForPlace(queue, refusal, request, askedAt, askedAt + request.remainingMillis.milliseconds, now)
+            refusal.reason == DispatchRefusal.LOADING && now - askedAt < options.placeTimeout
         }
 
-    /**
-     * With few engines: true if [request], which waits since [since], may wait on for a place on an engine. Of the requests for an overdue
-     * adapter only the first waits long, so that no more of them wait than engines could start.
-     */
-    private fun mayWaitForPlace(
-        queue: AdmissionQueue,
-        refusal: DispatchDecision.Refuse,
-        request: DispatchRequest,
-        since: Duration,
-        deadlineAt: Duration,
-        now: Duration,
-    ): Boolean {
-        if (refusal.reason == DispatchRefusal.LOADING && now - since < options.placeTimeout) return true
-        return refusal.reason in PLACE_REASONS && dispatcher.isOverdue(request, now) &&
-            now - since < (deadlineAt - since) * options.overdueWaitShare && queue.isFirstFor(request)
-    }
-
     /** True if no limited server has room for [request] within its target. */
     private fun isLimitedBeyondTarget(
         refusal: DispatchDecision.Refuse,
@@ -323,9 +306,6 @@
     private companion object {
         val QUEUED_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY, DispatchRefusal.LIMITED)
 
-        /** Reasons that pass as soon as an engine has a free place. */
-        val PLACE_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY)
-
         /** Reasons that pass at a known time. */
         val REFILL_REASONS = setOf(DispatchRefusal.OVER_LIMIT, DispatchRefusal.LIMITED)
 
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionOptions.kt
@@ -9,8 +9,6 @@
     val maxWaiting: Int = 1024,
     /** How long a request of a service with fewer engines waits for a free adapter place. */
     val placeTimeout: Duration = 100.milliseconds,
-    /** Share of the time until its deadline that such a request waits if its adapter has been refused for long. */
-    val overdueWaitShare: Double = 0.5,
     /** How often such a request is tried again. */
     val placeRetry: Duration = 25.milliseconds,
     /** Time after which a waiting request is answered by [DispatchDecision.Wait]; entry instances wait 450 ms for an answer. */
--- a/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdmissionQueue.kt
@@ -50,12 +50,6 @@
 
     operator fun get(key: RequestKey): WaitingRequest? = requests[key]
 
-    /** True if no request for the adapter of [request] has waited longer than [request], which may wait itself. */
-    fun isFirstFor(request: DispatchRequest): Boolean {
-        val own = requests[RequestKey(request.entry, request.number)]
-        return requests.values.none { it !== own && it.isForAdapterOf(request) && (own == null || it.sequence < own.sequence) }
-    }
-
     /** Number of waiting requests by priority. */
     fun sizes(): Map<Int, Int> = levels.mapValues { it.value.size }
 
@@ -194,8 +188,8 @@
     /** The request to try next, or null if none can be tried now. */
     fun next(): WaitingRequest? = levels.values.firstNotNullOfOrNull { it.first() }
 
-    /** The request that has waited longest of those that can be tried now and are eligible. */
-    fun oldest(isEligible: (WaitingRequest) -> Boolean = { true }): WaitingRequest? = byAge.firstOrNull(isEligible)
+    /** The request that has waited longest of those that can be tried now. */
+    fun oldest(): WaitingRequest? = byAge.firstOrNull()
 
     /** The next request whose entry instance must be answered at [now], or null. */
     fun nextToAnswer(now: Duration): WaitingRequest? = byAnswer.firstOrNull()?.takeIf { it.answerAt <= now }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchOptions.kt
@@ -40,8 +40,6 @@
     val memoryShare: Double = 0.9,
     /** Expected wait above which a request is refused, as a share of its target. */
     val waitShare: Double = 1.05,
-    /** Share of the time until its deadline that a request may wait whose adapter has been refused for long. */
-    val overdueWaitShare: Double = 0.5,
     /** Share of a request's target that it may wait for the token bucket of its workspace to refill. */
     val limitWaitShare: Double = 0.5,
     /** Factor applied to the rate limit of a cold server to get the hard bound for all instances together. */
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -27,7 +27,6 @@
     private val limits = WorkspaceLimits(hasPredecessor)
     private val tracker = RequestTracker(fleet, limits, options)
     private val planner = LoadPlanner(fleet, options, mayOrder = !hasPredecessor, now = now)
-    private val adapterWaits = AdapterWaits()
 
     private var weights: Map<String, Double> = emptyMap()
     private var meanWeight = 1.0
@@ -69,10 +68,7 @@
     public fun updateServers(
         reports: List<ServerReport>,
         now: Duration,
-    ) {
-        fleet.updateServers(reports, now)
-        adapterWaits.engines = fleet.servers.count { fleet.engineOf(it) != null }
-    }
+    ): Unit = fleet.updateServers(reports, now)
 
     /** Sends nothing new to servers in the availability zones [zones]; requests that run there are not affected. */
     public fun setEvacuatedZones(zones: Set<String>) {
@@ -199,42 +195,15 @@
     ): Admission {
         val wait = limits.waitTime(request.workspace, request.charge, now)
         // Where late requests may wait, one whose target has passed is not over its limit for that.
-        val mayBeLate = isQueued(request.service) || isOverdue(request, now)
-        val target = if (mayBeLate) maxOf(request.targetMillis, 0) else request.targetMillis
+        val target = if (isQueued(request.service)) maxOf(request.targetMillis, 0) else request.targetMillis
         val maxLimitWait = target.milliseconds * options.limitWaitShare
         if (wait > maxLimitWait) return refuse(DispatchRefusal.OVER_LIMIT, limitRetryAfter(wait - maxLimitWait / 2), wait = wait)
-        val admission = place(request, wait, maxWait ?: overdueWait(request, now), now)
-        val decision = (admission as? Admission.Decided)?.decision
-        if (decision is DispatchDecision.Send) limits.spend(request.workspace, request.charge, now)
-        if (decision != null) recordOutcome(request, decision, now)
+        val admission = place(request, wait, maxWait, now)
+        val sent = (admission as? Admission.Decided)?.decision is DispatchDecision.Send
+        if (sent) limits.spend(request.workspace, request.charge, now)
         return admission
     }
 
-    /** True if the adapter of [request] has been refused for so long that the request may wait longer than others. */
-    internal fun isOverdue(
-        request: DispatchRequest,
-        now: Duration,
-    ): Boolean = adapterOf(request)?.let { adapterWaits.isOverdue(it, now) } ?: false
-
-    /** Expected wait up to which [request] is sent although it misses its target, or null if its adapter is not overdue. */
-    private fun overdueWait(
-        request: DispatchRequest,
-        now: Duration,
-    ): Duration? = if (isOverdue(request, now)) request.remainingMillis.milliseconds * options.overdueWaitShare else null
-
-    private fun recordOutcome(
-        request: DispatchRequest,
-        decision: DispatchDecision,
-        now: Duration,
-    ) {
-        val adapter = adapterOf(request) ?: return
-        if (decision is DispatchDecision.Send) adapterWaits.recordSent(adapter, now)
-        if (decision is DispatchDecision.Refuse && decision.reason in CAPACITY_REASONS) adapterWaits.recordRefused(adapter, now)
-    }
-
-    private fun adapterOf(request: DispatchRequest): AdapterName? =
-        AdapterName(request.model ?: return null, request.adapter ?: return null)
-
     private fun place(
         request: DispatchRequest,
         limitWait: Duration,
@@ -341,7 +310,7 @@
             if (holder != null && isSoon(holderCost(holder), request)) {
                 null
             } else {
-                planner.pickServer(request, adapter, loadersAmong(servers, request, now), isOverdue(request, now), now)
+                planner.pickServer(request, adapter, loadersAmong(servers, request, now), now)
             }
         val loadCost =
             loader?.let { fleet.cost(it, request, now) + planner.loadTime(it, adapter) + options.loadMargin } ?: Duration.INFINITE
@@ -443,9 +412,6 @@
         val MIN_RETRY = 50.milliseconds
         val MAX_RETRY = 2.seconds
 
-        /** Reasons of refusals that say that others took the place of the request. */
-        val CAPACITY_REASONS = setOf(DispatchRefusal.LOADING, DispatchRefusal.BUSY)
-
         /** Longest hold of a request for a limited server, so that requests arrive at the rate at which they were granted. */
         val MAX_LIMITED_HOLD = 1.seconds
     }
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -16,9 +16,6 @@
     private var modelLoadTokens = 1.0
     private var modelLoadTokensAt = now
 
-    /** When a request for an overdue adapter last found no slot. */
-    private var overdueRefusedAt = -OVERDUE_PRECEDENCE
-
     /** Allows orders to be sent. To be called once no order of the previous leader can be in flight. */
     fun allowOrders() {
         mayOrder = true
@@ -53,30 +50,14 @@
     ): Boolean =
         server.adapterSlots[adapter]?.let { it.state != State.LEAVING && (version == null || (it.version ?: 0) >= version) } ?: false
 
-    /**
-     * The server on which [adapter] would be usable first, or null if none can load it now. While a request for an overdue adapter waits,
-     * it alone gets the slots that become free: under overload there are fewer of them than adapters to load.
-     */
+    /** The server on which [adapter] would be usable first, or null if none can load it now. */
     fun pickServer(
-        request: DispatchRequest,
-        adapter: String,
-        candidates: List<DispatchServer>,
-        isOverdue: Boolean,
-        now: Duration,
-    ): DispatchServer? {
-        val isPreceded = !isOverdue && now - overdueRefusedAt < OVERDUE_PRECEDENCE
-        if (!mayOrder || isPreceded) return null
-        val server = firstUsable(request, adapter, candidates, now)
-        if (server == null && isOverdue) overdueRefusedAt = now
-        return server
-    }
-
-    private fun firstUsable(
         request: DispatchRequest,
         adapter: String,
         candidates: List<DispatchServer>,
         now: Duration,
     ): DispatchServer? {
+        if (!mayOrder) return null
         val eligible =
             candidates.filter {
                 canOrder(it, now) && it.loadingCount(now) < options.loadsPerServer &&
@@ -294,9 +275,6 @@
         /** Evicting an adapter that was unused for this many load times has no cost. */
         const val EVICTION_AGE_FACTOR = 8
 
-        /** Longer than the pause between two tries of a waiting request. */
-        val OVERDUE_PRECEDENCE = 60.milliseconds
-
         /** An engine answers an order within a few milliseconds; one that takes longer is held up at the leader or lost. */
         val LATE_ORDER = 100.milliseconds
     }
--- a/policy/src/main/kotlin/anvilslip/policy/WaitingRequest.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/WaitingRequest.kt
@@ -38,8 +38,6 @@
     /** Work per remaining millisecond until the deadline; orders late requests. Updated whenever the entry instance asks. */
     var urgencyCost = 0.0
 
-    fun isForAdapterOf(other: DispatchRequest): Boolean = request.adapter == other.adapter && request.model == other.model
-
     /** The request as it is at [now]. */
     fun requestAt(now: Duration): DispatchRequest = request.after(now - askedAt)
 
