--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -95,9 +95,9 @@
         adapter: String,
         now: Duration,
     ): Boolean {
-        if (model != null && holdsVersion(server, adapter, fleet.currentVersion(model, adapter))) return false
-        val current = server.adapterSlots[adapter]
-        return if (current != null) current.isIdle(now) else hasSlot(server, now)
+        val current = server.adapterSlots[adapter] ?: return hasSlot(server, now)
+        val isHeld = model != null && holdsVersion(server, adapter, fleet.currentVersion(model, adapter))
+        return !isHeld && current.isIdle(now)
     }
 
     /** True if [server] has a free slot, or one whose adapter may be evicted. */
