--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerReachability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerReachability.kt
@@ -19,6 +19,7 @@
     private val log = EventLogger("servers")
     private val failedAt = HashMap<String, Duration>()
     private val awaiting = HashMap<Any, Duration>()
+    private var answeredAt = Duration.ZERO
     private var checkedAt = -CHECK_INTERVAL
 
     /** True while no server can be connected to, as far as this instance knows. */
@@ -55,14 +56,14 @@
         isAnswered: Boolean,
     ) {
         awaiting.remove(request)
-        if (isAnswered) awaiting.replaceAll { _, _ -> clock.elapsed() }
+        if (isAnswered) answeredAt = clock.elapsed()
     }
 
     /** True if it must be checked now whether servers can be connected to. */
     @Synchronized
     internal fun isCheckDue(): Boolean {
         val now = clock.elapsed()
-        val isDoubtful = isIsolated || awaiting.values.any { now - it > SILENCE }
+        val isDoubtful = isIsolated || awaiting.values.any { now - maxOf(it, answeredAt) > SILENCE }
         if (!isDoubtful || now - checkedAt < CHECK_INTERVAL) return false
         checkedAt = now
         return true
