--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrial.kt
@@ -4,6 +4,7 @@
 import anvilslip.policy.AdmissionControl
 import anvilslip.policy.BackendService
 import anvilslip.policy.DispatchDecision
+import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
 import anvilslip.policy.Dispatcher
 import anvilslip.policy.EngineInventory
@@ -20,7 +21,9 @@
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
 import anvilslip.policy.ServingWorkspace
+import java.util.TreeMap
 import kotlin.math.abs
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -46,6 +49,13 @@
     ) {
         /** When the leader was asked last. */
         var askedAt = receivedAt
+
+        /** Entry instance that asks for this attempt. */
+        var entry = 0
+
+        /** The entry instance no longer waits for the leader's answer. */
+        var isGivenUp = false
+        var isAnswered = false
     }
 
     private val time = VirtualTime()
@@ -64,6 +74,11 @@
     private var sequence = 0L
     private val predictionErrors = ArrayList<Double>()
     private val limitCheck = EngineLimitCheck(load)
+    private val leader = options.leader?.let { LeaderModel(it, time, seed) }
+    private val localRandom = Random(seed)
+    private var reportedAdapters: Map<String, Set<String>> = emptyMap()
+    private val refusals = TreeMap<String, Int>()
+    private var notHeld = 0
 
     /** Runs the simulation and returns its metrics. */
     public fun run(): DispatchTrialResult {
@@ -73,12 +88,19 @@
         load.drainAt?.let { time.at(it) { drainEngines() } }
         load.restartAt?.let { time.at(it) { restartEngines() } }
         load.limitFrom?.let(::limitEngines)
+        if (leader != null) {
+            leader.start(load.duration)
+            time.every(checkNotNull(options.leader).reportInterval) { reportedAdapters = byName.mapValues { it.value.model.adapters } }
+        }
         clients.start()
         time.runUntil(load.duration + SETTLE_TIME)
         return clients.result(store.loads, engines.sumOf { it.model.prefilledTokens }).copy(
             busiestEngine = busiestEngine(),
             predictionError = predictionErrors.sorted()[predictionErrors.size / 2],
             requestsOverLimit = limitCheck.worstExcess(),
+            lateAnswers = leader?.let { it.lateAnswers.toDouble() / maxOf(1, it.questions) } ?: 0.0,
+            refusals = refusals,
+            notHeld = notHeld,
         )
     }
 
@@ -158,7 +180,71 @@
     }
 
     /** Admits the first attempt for [request]. */
-    private fun sendFirstAttempt(request: TrialRequest) = admit(Attempt(request, ++lastAttemptNumber, time.now))
+    private fun sendFirstAttempt(request: TrialRequest) = ask(Attempt(request, ++lastAttemptNumber, time.now))
+
+    /** Has the entry instance of [attempt] ask the leader, and decide by itself if the answer is late. */
+    private fun ask(attempt: Attempt) {
+        val leader = leader ?: return admit(attempt)
+        attempt.entry = leader.pickEntry()
+        askLeader(leader, attempt)
+    }
+
+    private fun askLeader(
+        leader: LeaderModel,
+        attempt: Attempt,
+    ) {
+        if (leader.isAvoided(attempt.entry)) return decideLocally(leader, attempt)
+        val askedAt = time.now
+        attempt.askedAt = askedAt
+        attempt.isAnswered = false
+        leader.recordQuestion()
+        time.at(askedAt + checkNotNull(options.leader).answerTimeout) {
+            if (!attempt.isAnswered && attempt.askedAt == askedAt && !attempt.isGivenUp) {
+                leader.recordLateAnswer(attempt.entry)
+                decideLocally(leader, attempt)
+            }
+        }
+        leader.handle(1.0) { admit(attempt) }
+    }
+
+    /** Decides as an entry instance does without a leader: one of two random servers among those that listed the adapter. */
+    private fun decideLocally(
+        leader: LeaderModel,
+        attempt: Attempt,
+    ) {
+        attempt.isGivenUp = true
+        val adapter = attempt.request.adapter
+        val holders =
+            engines
+                .map {
+                    it.model.name
+                }.filter { it !in attempt.exclude && (adapter == null || adapter in reportedAdapters[it].orEmpty()) }
+        if (holders.isNotEmpty()) {
+            val chosen = holders[localRandom.nextInt(holders.size)]
+            time.at(time.now + NETWORK_DELAY) { sendToEngine(attempt, DispatchDecision.Send(chosen, chosen)) {} }
+            return
+        }
+        val number = attempt.number
+        reportSteps(listOf(RequestEvent(number, RequestStep.ENDED, null)))
+        if (time.now - attempt.receivedAt <= attempt.request.target / 2) {
+            time.at(time.now + LEADERLESS_POLL) {
+                val next = Attempt(attempt.request, ++lastAttemptNumber, attempt.receivedAt, attempt.exclude)
+                next.entry = attempt.entry
+                askLeader(leader, next)
+            }
+        } else {
+            refusals.merge("LOCAL_LOADING", 1, Int::plus)
+            clients.handleRefusal(attempt.request, DispatchRefusal.LOADING, localRandom.nextLong(300, 1001).milliseconds)
+        }
+    }
+
+    private fun reportSteps(events: List<RequestEvent>) {
+        fun apply() {
+            dispatcher.applyEvents(ENTRY, events, time.now)
+            recordChange()
+        }
+        if (leader == null) apply() else leader.handle(checkNotNull(options.leader).eventShare) { apply() }
+    }
 
     /** The request as it is when the leader is asked. */
     private fun dispatchRequest(attempt: Attempt): DispatchRequest {
@@ -224,6 +310,8 @@
         decision: DispatchDecision,
     ) {
         val now = time.now
+        if (attempt.isGivenUp) return
+        attempt.isAnswered = true
         when (decision) {
             is DispatchDecision.Send -> {
                 val hold = decision.holdMillis.milliseconds
@@ -240,13 +328,14 @@
             }
 
             is DispatchDecision.Refuse -> {
+                refusals.merge(decision.reason.name, 1, Int::plus)
                 clients.handleRefusal(attempt.request, decision.reason, decision.retryMillis.milliseconds)
             }
 
             DispatchDecision.Wait -> {
                 time.at(now + NETWORK_DELAY * 2) {
                     attempt.askedAt = time.now
-                    if (time.now < attempt.request.deadline) admit(attempt)
+                    if (time.now < attempt.request.deadline) leader?.let { askLeader(it, attempt) } ?: admit(attempt)
                 }
             }
         }
@@ -255,6 +344,14 @@
     private fun executeOrder(
         attempt: Attempt,
         order: LoadOrder,
+    ) {
+        val leader = leader ?: return sendOrder(attempt, order)
+        leader.handle(checkNotNull(options.leader).orderShare) { sendOrder(attempt, order) }
+    }
+
+    private fun sendOrder(
+        attempt: Attempt,
+        order: LoadOrder,
     ) {
         val steps = dispatcher.loadSteps(order)
         val engine = byName.getValue(order.server).model
@@ -283,8 +380,7 @@
         fun recordStep(step: RequestStep) =
             time.at(time.now + NETWORK_DELAY * 2) {
                 val outputTokens = request.outputTokens.takeIf { step == RequestStep.ENDED }
-                dispatcher.applyEvents(ENTRY, listOf(RequestEvent(attempt.number, step, outputTokens)), time.now)
-                recordChange()
+                reportSteps(listOf(RequestEvent(attempt.number, step, outputTokens)))
             }
         val engineRun =
             EngineRun(
@@ -303,8 +399,9 @@
         if (engine.phase != ServerPhase.GONE && engine.model.submit(engineRun)) return
         val step = if (engine.phase == ServerPhase.GONE) RequestStep.UNREACHABLE else RequestStep.NOT_HELD
         recordStep(step)
+        notHeld++
         val retry = Attempt(request, ++lastAttemptNumber, attempt.receivedAt, attempt.exclude + server)
-        if (retry.exclude.size < MAX_ATTEMPTS) time.at(time.now + NETWORK_DELAY * 3) { admit(retry) }
+        if (retry.exclude.size < MAX_ATTEMPTS) time.at(time.now + NETWORK_DELAY * 3) { ask(retry) }
     }
 
     /** Reports what the answer of [engine] to the request that was sent by [decision] says about its limit. */
@@ -338,6 +435,7 @@
         val TICK = 100.milliseconds
         val NETWORK_DELAY = 4.milliseconds
         val ORDER_TIME = 3.milliseconds
+        val LEADERLESS_POLL = 100.milliseconds
         val DRAIN_NOTICE = 2.seconds
 
         /** Time that the simulation runs on after the last arrival, so that outstanding requests can finish. */
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialOptions.kt
@@ -31,6 +31,8 @@
     /** Loads that the weight store carries at full speed. */
     val fullSpeedLoads: Int = 8,
     val admission: AdmissionOptions = AdmissionOptions(),
+    /** Processor time of the leader; null if decisions take none. */
+    val leader: LeaderModelOptions? = null,
 ) {
     public companion object {
         /** A deployment of [engines] engines with requests of three priorities, of which most find their adapter loaded. */
--- a/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/DispatchTrialResult.kt
@@ -39,6 +39,14 @@
     val adapterStarvation: AdapterStarvation = AdapterStarvation.NONE,
     /** Requests of an engine in four seconds beyond what its limit allows, for the worst such time; 0 if none. */
     val requestsOverLimit: Double = 0.0,
+    /** Share of the questions to the leader whose answer came too late. */
+    val lateAnswers: Double = 0.0,
+    /** Refusals by reason; those without a leader have `LOCAL_` before it. */
+    val refusals: Map<String, Int> = emptyMap(),
+    /** Attempts that an engine did not run since it does not hold the adapter. */
+    val notHeld: Int = 0,
+    /** Share of requests that were never served, by the second of their arrival in steps of two. */
+    val unservedBySecond: List<Double> = emptyList(),
 ) {
     /** Lowest share of requests served over all workspaces. */
     val worstWorkspace: Double get() = servedByWorkspace.min()
--- a/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/TrialClients.kt
@@ -137,7 +137,12 @@
         prefilledTokens: Long,
     ): DispatchTrialResult {
         val withinLimit = requests.filter { !it.isOverLimit || it.answeredAt != null }
-        val windows = withinLimit.groupBy { (it.arrivedAt / WINDOW).toInt() }.values.filter { it.size >= MIN_WINDOW }
+        val windows =
+            withinLimit
+                .groupBy { (it.arrivedAt / WINDOW).toInt() }
+                .toSortedMap()
+                .values
+                .filter { it.size >= MIN_WINDOW }
         val answered = withinLimit.filter { it.answeredAt != null }
         return DispatchTrialResult(
             load = load.name,
@@ -158,6 +163,7 @@
             fetches = fetches * PERCENT / requests.size,
             worthOfAll = worth(requests),
             byPriority = requests.groupBy { it.priority }.toSortedMap().mapValues { (_, of) -> priorityResult(of) },
+            unservedBySecond = windows.map { 1 - servedShare(it) },
             adapterStarvation = AdapterStarvation.of(withinLimit, answered.size.toDouble() / withinLimit.size),
             readShare = prefilledTokens.toDouble() / answered.sumOf { it.promptTokens },
             meanWait =
