--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -20,6 +20,7 @@
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
     private val rateLimiter = ServerRateLimiter(reportedLimits)
+    private val zonePenaltyMillis = options.zonePenalty.toDouble(DurationUnit.MILLISECONDS)
     var configuration = ServingConfiguration(-1)
         set(value) {
             field = value
@@ -30,6 +31,9 @@
     /** Availability zones to whose servers nothing new is sent. */
     var evacuatedZones: Set<String> = emptySet()
 
+    /** The servers of [serversById] by service. */
+    private var serversByService: Map<String, List<DispatchServer>> = emptyMap()
+
     val servers: Collection<DispatchServer> get() = serversById.values
 
     operator fun get(id: String): DispatchServer? = serversById[id]
@@ -61,6 +65,7 @@
                 }
             }
         }
+        serversByService = serversById.values.groupBy { it.report.service }
         readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
         updateQueuedServices()
     }
@@ -88,13 +93,17 @@
         request: DispatchRequest,
         now: Duration,
     ): List<DispatchServer> {
-        val usable =
-            servers.filter { it.report.service == request.service && it.isReady && !isEvacuated(it) && request.mayRunOn(it.report) }
-        val ready = usable.filter { it.report.id !in request.exclude }
-        val reachable = ready.filter { now >= it.avoidedUntil }.ifEmpty { ready }
+        val ready = ArrayList<DispatchServer>()
+        for (server in serversByService[request.service].orEmpty()) if (mayRun(server, request)) ready += server
+        val reachable = ready.filterUnlessAll { now >= it.avoidedUntil }.ifEmpty { ready }
         return if (request.isSuspect) reachable.filter { it.runningSuspects == 0 }.ifEmpty { reachable } else reachable
     }
 
+    private fun mayRun(
+        server: DispatchServer,
+        request: DispatchRequest,
+    ): Boolean = server.isReady && !isEvacuated(server) && request.mayRunOn(server.report) && server.report.id !in request.exclude
+
     /** True if no server of the service runs the software version that began the stream that [request] resumes. */
     fun isVersionGone(request: DispatchRequest): Boolean =
         request.softwareVersion != null &&
@@ -181,12 +190,18 @@
         return server.runningRequests < engine.slots && server.kvTokens + kvUse(request) < engine.kvCapacity * options.memoryShare
     }
 
-    /** Expected time until [server] answers [request], by which servers are compared: [cost] and the time for its own prompt. */
-    fun answerCost(
+    /**
+     * Expected time in milliseconds until [server] answers [request], by which engines are compared: [cost] and the time for its own
+     * prompt.
+     */
+    fun answerCostMillis(
         server: DispatchServer,
         request: DispatchRequest,
         now: Duration,
-    ): Duration = cost(server, request, now) + server.promptTime(request.promptTokens)
+    ): Double {
+        val zone = if (server.report.zone == request.zone) 0.0 else zonePenaltyMillis
+        return server.expectedAnswerMillis(now, waitPriority(request), request.promptTokens) + zone
+    }
 
     /** KV cache tokens that [request] is expected to use. Without a queue only the prompt counts. */
     fun kvUse(request: DispatchRequest): Int = request.promptTokens + if (isQueued(request.service)) outputEstimate.expected(request) else 0
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -6,11 +6,18 @@
 
 /** State of one backend server known to the [Dispatcher]: its loaded models and adapters, and the requests sent to it. */
 internal class DispatchServer(
-    var report: ServerReport,
+    report: ServerReport,
     private val options: DispatchOptions,
     val performance: EnginePerformance,
 ) {
-    val adapterSlots = LinkedHashMap<String, AdapterSlot>()
+    /** The last report of the server. */
+    var report: ServerReport = report
+        set(value) {
+            field = value
+            reportedModels = namesOf(value)
+        }
+    private var reportedModels = namesOf(report)
+    val adapterSlots = AdapterSlots()
     private val recentlyEvicted = LinkedHashSet<String>()
 
     /** Requests sent to the server that have not ended. */
@@ -45,7 +52,9 @@
     /** True if the server is known to hold no model and none is being loaded. */
     val hasNoModel: Boolean get() = !isLoadingModel && report.models?.isEmpty() == true && inventoryModels.isEmpty()
 
-    fun holdsModel(model: String): Boolean = model in inventoryModels || report.models.orEmpty().any { it.name == model }
+    fun holdsModel(model: String): Boolean = model in inventoryModels || model in reportedModels
+
+    private fun namesOf(report: ServerReport): Set<String> = report.models.orEmpty().mapTo(HashSet()) { it.name }
 
     /** Expected time until the server starts a request of [priority]; engines start more urgent requests first. */
     fun expectedWait(
@@ -53,6 +62,14 @@
         priority: Int = PendingTokens.LEAST_URGENT,
     ): Duration = performance.expectedTime(remainingPromptTokens(now, priority), runningRequests)
 
+    /** Expected milliseconds until the server has processed a prompt of [tokens] after the work of [priority] and more urgent ahead of it. */
+    fun expectedAnswerMillis(
+        now: Duration,
+        priority: Int,
+        tokens: Int,
+    ): Double =
+        performance.expectedMillis(remainingPromptTokens(now, priority), runningRequests) + performance.expectedMillis(tokens.toDouble(), 0)
+
     /** Expected time for a prompt of [tokens] on an idle engine. */
     fun promptTime(tokens: Int): Duration = performance.expectedTime(tokens.toDouble(), 0)
 
@@ -76,16 +93,23 @@
 
     fun isWarm(adapter: String): Boolean = adapter in recentlyEvicted
 
-    fun loadingCount(now: Duration): Int = adapterSlots.values.count { it.isLoading(now) }
+    fun loadingCount(now: Duration): Int = adapterSlots.count { it.isLoading(now) }
 
     /** Adapters that the server is loading. */
-    fun inTransitCount(now: Duration): Int = adapterSlots.values.count { it.isInTransit(now) }
+    fun inTransitCount(now: Duration): Int = adapterSlots.count { it.isInTransit(now) }
 
     /** Adapters whose load the server has not accepted yet. */
-    fun reservedCount(): Int = adapterSlots.values.count { it.state == State.RESERVED }
+    fun reservedCount(): Int = adapterSlots.count { it.state == State.RESERVED }
 
     /** The least recently used idle adapter, or null if all adapters are in use. */
-    fun evictionCandidate(now: Duration): AdapterSlot? = adapterSlots.values.filter { it.isIdle(now) }.minByOrNull { it.lastUsedAt }
+    fun evictionCandidate(now: Duration): AdapterSlot? {
+        var oldest: AdapterSlot? = null
+        for (i in 0 until adapterSlots.size) {
+            val slot = adapterSlots[i]
+            if (slot.isIdle(now) && (oldest == null || slot.lastUsedAt < oldest.lastUsedAt)) oldest = slot
+        }
+        return oldest
+    }
 
     fun evict(adapter: String) {
         adapterSlots.remove(adapter)
@@ -105,7 +129,7 @@
             inventory.pending.values
                 .flatten()
                 .toSet() - held.keys
-        adapterSlots.values.removeAll { it.state != State.RESERVED && it.adapter !in held && it.adapter !in pending }
+        adapterSlots.removeAll { it.state != State.RESERVED && it.adapter !in held && it.adapter !in pending }
         for ((adapter, version) in held) recordAdapter(adapter, version, now, now)
         for (adapter in pending) recordAdapter(adapter, null, now + options.adapterLoad, now)
         inventoryModels = inventory.models.map { it.name }.toSet()
@@ -133,7 +157,7 @@
     }
 
     /** Adapter slots in use on the server, without reservations that have not been ordered yet. */
-    val occupiedSlots: Int get() = adapterSlots.values.count { it.state != State.RESERVED }
+    val occupiedSlots: Int get() = adapterSlots.count { it.state != State.RESERVED }
 
     /** Discards the state of the previous process after a restart of the server. */
     fun reset(next: ServerReport) {
--- a/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/Dispatcher.kt
@@ -264,13 +264,13 @@
         now: Duration,
     ): Admission {
         val model = request.model ?: return placePlain(request, candidates, limitWait, now)
-        val holders = candidates.filter { it.holdsModel(model) }
+        val holders = candidates.filterUnlessAll { it.holdsModel(model) }
         if (holders.isEmpty()) return refuse(DispatchRefusal.LOADING, MODEL_RETRY, candidates.size)
-        val withMemory = holders.filter { fleet.hasMemory(it, request) }
+        val withMemory = holders.filterUnlessAll { fleet.hasMemory(it, request) }
         if (withMemory.isEmpty()) return refuse(DispatchRefusal.BUSY, BUSY_RETRY, holders.size)
         val adapter = request.adapter
         if (adapter != null) return placeAdapter(request, model, adapter, withMemory, limitWait, maxWait, now)
-        return send(request, withMemory.minBy { fleet.answerCost(it, request, now) }, limitWait, null, maxWait, now)
+        return send(request, withMemory.minBy { fleet.answerCostMillis(it, request, now) }, limitWait, null, maxWait, now)
     }
 
     private fun refuseWithoutServer(request: DispatchRequest): Admission {
@@ -304,8 +304,10 @@
         val version = fleet.currentVersion(model, adapter)
 
         fun holderCost(server: DispatchServer) = fleet.cost(server, request, now) + planner.remainingLoad(server, adapter, now)
-        val holders = servers.filter { planner.holdsVersion(it, adapter, version) }
-        val holder = holders.minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
+        val holder =
+            servers
+                .filter { planner.holdsVersion(it, adapter, version) }
+                .minByOrNull { holderCost(it) + it.promptTime(request.promptTokens) }
         val loader =
             if (holder != null && isSoon(holderCost(holder), request)) {
                 null
--- a/policy/src/main/kotlin/anvilslip/policy/EnginePerformance.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EnginePerformance.kt
@@ -4,6 +4,7 @@
 import kotlin.math.exp
 import kotlin.math.ln
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -27,7 +28,13 @@
     fun expectedTime(
         work: Double,
         running: Int,
-    ): Duration = service.expectedTime(work, running) * slowness
+    ): Duration = expectedMillis(work, running).milliseconds
+
+    /** [expectedTime] in milliseconds. */
+    fun expectedMillis(
+        work: Double,
+        running: Int,
+    ): Double = service.expectedMillis(work, running) * slowness
 
     /** Applies the time of an answer to the estimates of the server and of its service. */
     fun observe(sample: Sample) {
@@ -52,7 +59,8 @@
             slowness = if (isRestarted) 1 / RESTART_SPEED else 1.0
             return
         }
-        val ratios = samples.map { it.time / service.expectedTime(it.work, it.running) }.sorted()
+        val ratios = DoubleArray(samples.size) { samples[it].run { millis / service.expectedMillis(work, running) } }
+        ratios.sort()
         val median = (ratios[(ratios.size - 1) / 2] + ratios[ratios.size / 2]) / 2
         val logarithm = ln(median) * samples.size / (samples.size + PRIOR_SAMPLES)
         slowness = exp(logarithm).coerceIn(1 / MAX_RATIO, MAX_RATIO)
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -58,19 +58,30 @@
         now: Duration,
     ): DispatchServer? {
         if (!mayOrder) return null
-        val eligible =
-            candidates.filter {
-                canOrder(it, now) && it.loadingCount(now) < options.loadsPerServer &&
-                    canLoad(it, request.model, adapter, now)
+        val mayFetch = mayFetch(candidates.size, now)
+        var best: DispatchServer? = null
+        var bestCost = Double.POSITIVE_INFINITY
+        for (i in candidates.indices) {
+            val server = candidates[i]
+            if (!mayFetch && !server.isWarm(adapter)) continue
+            if (!canOrder(server, now) || !canLoad(server, request.model, adapter, now)) continue
+            if (server.loadingCount(now) >= options.loadsPerServer) continue
+            val cost = fleet.answerCostMillis(server, request, now) + loadCostMillis(server, adapter, now)
+            if (cost < bestCost) {
+                best = server
+                bestCost = cost
             }
-        val warm = eligible.filter { it.isWarm(adapter) }
-        val cold = eligible.takeIf { mayFetch(candidates.size, now) }.orEmpty()
-        return (warm + cold).minByOrNull {
-            val answerCost = fleet.answerCost(it, request, now)
-            answerCost + loadTime(it, adapter) + fetchCost(it, adapter) + evictionCost(it, now)
         }
+        return best
     }
 
+    /** Cost in milliseconds of loading [adapter] on [server], by which servers are compared. */
+    private fun loadCostMillis(
+        server: DispatchServer,
+        adapter: String,
+        now: Duration,
+    ): Double = (loadTime(server, adapter) + fetchCost(server, adapter) + evictionCost(server, now)).toDouble(DurationUnit.MILLISECONDS)
+
     /** The room for further loads of adapters that no engine holds. */
     fun capacity(now: Duration): LoadCapacity {
         val engines = fleet.servers.filter { it.isReady && fleet.engineOf(it) != null }
@@ -131,7 +142,9 @@
         var reserved = 0
         // One pass, since each decision on an adapter that no engine holds asks for it.
         for (server in fleet.servers) {
-            for (slot in server.adapterSlots.values) {
+            val slots = server.adapterSlots
+            for (i in 0 until slots.size) {
+                val slot = slots[i]
                 if (slot.state == State.RESERVED) reserved++
                 if (slot.isInTransit(now) || isOrdered(slot, now)) counted++
             }
--- a/policy/src/main/kotlin/anvilslip/policy/ServicePerformance.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/ServicePerformance.kt
@@ -1,7 +1,6 @@
 package anvilslip.policy
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
 /**
@@ -18,7 +17,9 @@
         val running: Int,
         val time: Duration,
         val answeredAt: Duration,
-    )
+    ) {
+        val millis: Double = time.toDouble(DurationUnit.MILLISECONDS)
+    }
 
     /** Decayed sums of the normal equations; each sample is scaled by its time, so that relative errors count. */
     private var workSquared = INITIAL_SAMPLES / (initialMillisPerUnit * initialMillisPerUnit)
@@ -35,16 +36,15 @@
     var millisPerRunning: Double = initialMillisPerRunning
         private set
 
-    /** Time after which a server of mean speed answers a request with [work] ahead of its answer. */
-    fun expectedTime(
+    /** Milliseconds after which a server of mean speed answers a request with [work] ahead of its answer. */
+    fun expectedMillis(
         work: Double,
         running: Int,
-    ): Duration = (work * millisPerUnit + running * millisPerRunning).milliseconds
+    ): Double = work * millisPerUnit + running * millisPerRunning
 
     fun observe(sample: Sample) {
-        val millis = sample.time.toDouble(DurationUnit.MILLISECONDS)
-        val work = sample.work / millis
-        val running = sample.running / millis
+        val work = sample.work / sample.millis
+        val running = sample.running / sample.millis
         workSquared = workSquared * DECAY + work * work
         workSum = workSum * DECAY + work
         runningSquared = runningSquared * DECAY + running * running
