Query each engine once at a time, with a bounded number of queries and orders in progress

Cause: a new leader knows the state of no engine and asked all at once, those without an answer again each 100 ms, each on a new connection with 150 ms for the whole exchange. They share 0.45 of a core, so that none ends in time (1,128 of 1,145 came back empty), and all are asked again after 500 ms. The same for orders: up to 53 in progress, 79 to 226 ms each, three tries of 150 ms.

Ruled out: the weight store (5 to 25 of 64 in transit), slots (42 to 92 engines with one), admissions (1,700 a second were decided meanwhile), entry instances (0.3 ms before and after the leader's answer).

Change: an engine is not asked again while its answer may come; 8 queries and 12 orders are in progress at most, the others wait their turn. The lease, the fencing token and evacuations are checked when an order's turn comes.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -32,7 +32,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
@@ -65,6 +67,9 @@
         val fencing = LeaderFencing(number)
         val pendingOrders = ConcurrentHashMap<Pair<String, String>, CompletableDeferred<Unit>>()
         val serverLocks = ConcurrentHashMap<String, Mutex>()
+
+        /** Engines whose inventory is being queried. */
+        val queriedEngines: MutableSet<String> = ConcurrentHashMap.newKeySet()
         var fleetRevision = -1L
         var beliefsLoggedAt = electedAt
     }
@@ -73,6 +78,10 @@
     private val log = EventLogger("dispatch")
     private val admissionLog = AdmissionLog(metrics, clock)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    /** Bound the exchanges with engines that are in progress: apart, so that engines that do not answer do not hold up orders to others. */
+    private val queryPermits = Semaphore(CONCURRENT_QUERIES)
+    private val orderPermits = Semaphore(CONCURRENT_ORDERS)
     private val lock = Any()
     private val termState = TermState<LeaderTerm>()
     private val wasLeading = AtomicBoolean()
@@ -330,7 +339,7 @@
             }
         logBeliefs(term, now)
         signalChange(term)
-        for (server in due) scope.launch { queryInventory(term, server) }
+        for (server in due) if (term.queriedEngines.add(server.id)) scope.launch { queryInventory(term, server) }
         while (true) {
             val order = synchronized(lock) { term.dispatcher.nextModelOrder(now) } ?: break
             scope.launch { loadModel(term, order) }
@@ -392,8 +401,18 @@
     private suspend fun queryInventory(
         term: LeaderTerm,
         server: ServerReport,
-    ) = serverLock(term, server.id).withLock {
-        val inventory = orNullOnFailure(log, server.id) { engineClient.queryInventory(server.id, server.address) }
+    ) = try {
+        serverLock(term, server.id).withLock { recordInventory(term, server) }
+    } finally {
+        term.queriedEngines -= server.id
+    }
+
+    private suspend fun recordInventory(
+        term: LeaderTerm,
+        server: ServerReport,
+    ) {
+        val inventory =
+            queryPermits.withPermit { orNullOnFailure(log, server.id) { engineClient.queryInventory(server.id, server.address) } }
         log.info(
             "server_surveyed",
             "server" to server.id,
@@ -453,9 +472,15 @@
         order: LoadOrder,
     ) = synchronized(lock) { term.dispatcher.recordLoadFailed(order, clock.elapsed()) }
 
+    /** Sends [order] when its turn comes, unless it may no longer be sent by then. */
     private suspend fun sendOrder(
         term: LeaderTerm,
         order: EngineOrder,
+    ): OrderReply = orderPermits.withPermit { sendPermittedOrder(term, order) }
+
+    private suspend fun sendPermittedOrder(
+        term: LeaderTerm,
+        order: EngineOrder,
     ): OrderReply {
         val view = replicaView()
         if (view.term != term.number || !view.isLeading(clock.elapsed())) return OrderReply.REFUSED
@@ -490,6 +515,13 @@
         private val ORDER_POLL = 5.milliseconds
         private const val MAX_LOADS = 3
 
+        /**
+         * More exchanges at once would not end sooner, since they share the processor of this instance, but each would take longer than the
+         * client waits for an engine.
+         */
+        private const val CONCURRENT_QUERIES = 8
+        private const val CONCURRENT_ORDERS = 12
+
         /** Bounds the wait for the queue in case its passes fail; shorter than the time that entry instances wait for the answer. */
         private val QUEUE_WAIT_TIMEOUT = 400.milliseconds
     }
--- a/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/LeaderDispatchSpec.kt
@@ -27,10 +27,13 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -39,6 +42,9 @@
 class LeaderDispatchSpec :
     DescribeSpec({
         val clock = TestClock(10.seconds)
+
+        /** How long entry instances wait for an answer. */
+        val waitLimit = 450.milliseconds
         val configuration = ServingConfiguration(1, services = mapOf("app" to BackendService("app", 100)))
 
         /** A leader whose lease ends at the time that [leaseUntil] returns. */
@@ -196,6 +202,55 @@
             }
         }
 
+        describe("a leader of many engines that answer orders late") {
+            val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
+            val profile = EngineProfile(4, 10_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
+            val engines = ServingConfiguration(1, services = mapOf("llm" to BackendService("llm", 100, profile)))
+
+            // Guards against orders of two leaders in turns, and against orders that all take longer than the leader waits for an engine.
+            it("has a bounded number of orders in progress, and sends none whose turn comes after its lease has ended") {
+                var leading =
+                    ReplicaView(ReplicaId("c", "x"), ReplicaRole.LEADER, term = 3, leaseUntil = SystemClock.elapsed() + 1.minutes)
+                val clusterView = ClusterView({ engines.right() }, SystemClock, emptySet(), heartbeat = 10.seconds)
+                clusterView.applyDocument(ConfigurationDocument(1, "text"))
+                for (i in 1..40) {
+                    val models = listOf(LoadedModel("m", emptyMap()))
+                    clusterView.recordReport(ServerReport("s$i", "llm", "s$i:80", "z1", ServerPhase.READY, 1, 1, 4, models), direct = true)
+                }
+                val answered = CompletableDeferred<Unit>()
+                val sent = AtomicInteger()
+                val client =
+                    object : EngineClient by ScriptedEngineClient(inventory = EngineInventory(0, listOf(LoadedModel("m", emptyMap())))) {
+                        override suspend fun sendOrder(
+                            order: EngineOrder,
+                            fencingToken: Long,
+                        ): OrderReply {
+                            sent.incrementAndGet()
+                            answered.await()
+                            return OrderReply.TAKEN
+                        }
+                    }
+                val view = { leading }
+                val watches = WatchResponder("c", "x", clusterView, view, SystemClock)
+                val handover = OrderHandover(Duration.ZERO, false)
+                val leader = LeaderDispatch(view, clusterView, watches, client, DispatchOptions(), handover, SystemClock)
+                leader.start()
+                delay(500.milliseconds)
+                coroutineScope {
+                    for (number in 1L..20L) {
+                        val request = request(number).copy(service = "llm", model = "m", adapter = "x$number")
+                        launch { leader.admit(request) }
+                    }
+                }
+                sent.get() shouldBe 12
+                leading = leading.copy(leaseUntil = Duration.ZERO)
+                answered.complete(Unit)
+                delay(200.milliseconds)
+                leader.stop()
+                sent.get() shouldBe 12
+            }
+        }
+
         describe("a leader in which something fails once") {
             val model = ModelProfile("m", weightsMb = 1.0, loadTime = 10.milliseconds, adapterMb = 1.0)
             val profile = EngineProfile(4, 1_000, listOf(model), weightsMb = 10.0, adapterSlots = 2, loadsPerSecond = 100.0)
@@ -320,7 +375,7 @@
                 val decision =
                     withTimeoutOrNull(8.seconds) {
                         while (true) {
-                            val reply = withTimeoutOrNull(450.milliseconds) { leader.admit(request) }
+                            val reply = withTimeoutOrNull(waitLimit) { leader.admit(request) }
                             val decision = reply.shouldBeInstanceOf<PeerMessage.AdmitReply>().decision
                             if (decision !is DispatchDecision.Refuse) return@withTimeoutOrNull decision
                             delay(10.milliseconds)
