Order every load that has been decided

Cause: the load was started within the time that the request may still wait. With none left, as when the decision itself came late, it never began: its slot stayed reserved and requests for the adapter waited for the order.

Change: the load is started first, then waited for. LateLeaderSpec failed for a decision 450 ms late and passes.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -133,12 +133,10 @@
                 }
 
                 is Admission.Load -> {
-                    if (++loadCount > MAX_LOADS) {
-                        // The adapter slot is reserved already, so the order must be carried out for other requests.
-                        scope.launch { load(term, admission.order) }
-                        return refuseLoading(term)
-                    }
-                    if (!finishes(receivedAt) { load(term, admission.order) }) return waitReply(term)
+                    // The adapter slot is reserved already, so the order must be carried out even if nobody waits for it.
+                    val load = startLoad(term, admission.order)
+                    if (++loadCount > MAX_LOADS) return refuseLoading(term)
+                    if (!finishes(receivedAt) { load.join() }) return waitReply(term)
                 }
 
                 is Admission.AwaitOrder -> {
@@ -258,10 +256,7 @@
         try {
             withTimeoutOrNull(QUEUE_WAIT_TIMEOUT) { pending.join() }
         } catch (e: CancellationException) {
-            // The adapter slot is reserved, so the order must be carried out.
-            if (!withdrawIfPending(term, key, pending)) {
-                (pending.getCompleted() as? Admission.Load)?.let { scope.launch { load(term, it.order) } }
-            }
+            if (!withdrawIfPending(term, key, pending)) (pending.getCompleted() as? Admission.Load)?.let { startLoad(term, it.order) }
             throw e
         }
         return if (withdrawIfPending(term, key, pending)) null else pending.await()
@@ -432,21 +427,19 @@
         synchronized(lock) { term.dispatcher.recordModelOrder(order, accepted, clock.elapsed()) }
     }
 
-    private suspend fun load(
+    /** Starts [order] in the scope of the service, since its outcome must be recorded even if the request that needs it is cancelled. */
+    private fun startLoad(
         term: LeaderTerm,
         order: LoadOrder,
-    ) {
-        // Runs in the scope of the service, since the outcome of the load must be recorded even if the request is cancelled.
-        scope
-            .launch {
-                try {
-                    serverLock(term, order.server).withLock { executeLoad(term, order) }
-                } finally {
-                    term.pendingOrders.remove(order.server to order.adapter)?.complete(Unit)
-                    signalChange(term)
-                }
-            }.join()
-    }
+    ): Job =
+        scope.launch {
+            try {
+                serverLock(term, order.server).withLock { executeLoad(term, order) }
+            } finally {
+                term.pendingOrders.remove(order.server to order.adapter)?.complete(Unit)
+                signalChange(term)
+            }
+        }
 
     private suspend fun executeLoad(
         term: LeaderTerm,
