Keep what is derived from the reports of servers while they do not change

DecisionAllocationSpec also asserts what is decided, so that an early refusal does not pass as cheap.

--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -65,11 +65,21 @@
                 }
             }
         }
-        serversByService = serversById.values.groupBy { it.report.service }
+        if (!isGrouped()) serversByService = serversById.values.groupBy { it.report.service }
         readyServers = reports.filter { it.phase == ServerPhase.READY }.groupingBy { it.service }.eachCount()
         updateQueuedServices()
     }
 
+    /** True if [serversByService] has the servers of [serversById] in their order. */
+    private fun isGrouped(): Boolean {
+        val indexes = HashMap<String, Int>()
+        for (server in serversById.values) {
+            val index = indexes.merge(server.report.service, 1, Int::plus)!! - 1
+            if (serversByService[server.report.service]?.getOrNull(index) !== server) return false
+        }
+        return serversByService.all { (service, servers) -> indexes[service] == servers.size }
+    }
+
     /** Prompt tokens per millisecond that the servers of [service] that may be used process together. */
     fun capacity(service: String): Double {
         val usable = servers.filter { it.report.service == service && it.isReady && !isEvacuated(it) }
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -13,8 +13,9 @@
     /** The last report of the server. */
     var report: ServerReport = report
         set(value) {
+            val isChanged = value.models != field.models
             field = value
-            reportedModels = namesOf(value)
+            if (isChanged) reportedModels = namesOf(value)
         }
     private var reportedModels = namesOf(report)
     val adapterSlots = AdapterSlots()
--- a/policy/src/test/kotlin/anvilslip/policy/DecisionAllocationSpec.kt
+++ b/policy/src/test/kotlin/anvilslip/policy/DecisionAllocationSpec.kt
@@ -3,6 +3,7 @@
 import com.sun.management.ThreadMXBean
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import java.lang.management.ManagementFactory
 import kotlin.time.Duration
@@ -29,9 +30,9 @@
 
             it("allocates little if all adapters are in use") {
                 val fleet = LargeFleet()
-                repeat(LargeFleet.ADAPTERS) { fleet.admit(it, "a$it") }
+                repeat(LargeFleet.ADAPTERS) { fleet.admit(it, "a$it").shouldBeInstanceOf<Admission.Decided>() }
                 fleet.bytesPerDecision(decisions) {
-                    fleet.admit(LargeFleet.ADAPTERS + it, "new$it").shouldBeInstanceOf<Admission.Decided>()
+                    fleet.admit(LargeFleet.ADAPTERS + it, "new$it").refusal() shouldBe DispatchRefusal.LOADING
                 } shouldBeLessThan maxBytes
             }
 
@@ -39,7 +40,7 @@
                 val fleet = LargeFleet()
                 repeat(100) { fleet.admit(it, "first$it") }
                 fleet.bytesPerDecision(decisions) {
-                    fleet.admit(100 + it, "new$it").shouldBeInstanceOf<Admission.Decided>()
+                    fleet.admit(100 + it, "new$it").refusal() shouldBe DispatchRefusal.LOADING
                 } shouldBeLessThan maxBytes
             }
         }
@@ -52,6 +53,8 @@
         }
     })
 
+private fun Admission.refusal() = shouldBeInstanceOf<Admission.Decided>().decision.shouldBeInstanceOf<DispatchDecision.Refuse>().reason
+
 /** A dispatcher with 98 engines, all of whose slots hold an adapter, and 5 plain servers. */
 private class LargeFleet {
     private val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
@@ -122,7 +125,8 @@
     }
 
     fun admitPlain(number: Int) {
-        dispatcher.admit(request(number, "app", null, null), now)
+        val admission = dispatcher.admit(request(number, "app", null, null), now).shouldBeInstanceOf<Admission.Decided>()
+        admission.decision.shouldBeInstanceOf<DispatchDecision.Send>()
         end(number)
     }
 
