Answer messages of unknown kinds with a failure in place of closing the connection

Callers would see refusals and late answers while machines are replaced: a message of a kind, or with a value of an enumeration, that only the other build knows failed to decode, and PeerNetwork.serve and PeerLink.readAll closed the connection because of it. All calls that were waiting on that connection failed with it, and so again after each reconnect for as long as such messages came.

A frame has a length, so it can be skipped; its header (call ID, whether it is an answer, stamp) is now decoded by itself when the message cannot be. A call is answered with Failed, as a message that the receiver does not handle is already, so the callers' fallbacks apply. A message without a call ID is skipped, an answer that cannot be read ends its call with Failed. Bytes that are no frame still close the connection.

Ruled out: a version in the handshake. The builds in use refuse any other version and take no further field.

--- a/wire/src/main/kotlin/anvilslip/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/FrameCodec.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 
 /** Encodes frames to CBOR and decodes them. */
@@ -14,9 +15,22 @@
 
     fun encode(frame: Frame): ByteArray = PeerFormat.cbor.encodeToByteArray(Frame.serializer(), frame)
 
-    fun decode(bytes: ByteArray): Either<String, Frame> =
+    fun decode(bytes: ByteArray): Either<FrameError, Frame> =
+        decode(Frame.serializer(), bytes).fold({ reason -> findError(bytes, reason).left() }, { it.right() })
+
+    /** Tells a message of an unknown kind from bytes that are no frame. */
+    private fun findError(
+        bytes: ByteArray,
+        reason: String,
+    ): FrameError =
+        decode(FrameHeader.serializer(), bytes).fold({ FrameError.Malformed(reason) }, { FrameError.UnknownMessage(it, reason) })
+
+    private fun <T> decode(
+        serializer: KSerializer<T>,
+        bytes: ByteArray,
+    ): Either<String, T> =
         try {
-            PeerFormat.cbor.decodeFromByteArray(Frame.serializer(), bytes).right()
+            PeerFormat.cbor.decodeFromByteArray(serializer, bytes).right()
         } catch (e: SerializationException) {
             (e.message ?: "malformed frame").left()
         } catch (e: IllegalArgumentException) {
--- a/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
@@ -4,6 +4,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.SizedQueue
 import anvilslip.kernel.isFatal
+import arrow.core.getOrElse
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -112,16 +113,27 @@
     }
 
     private suspend fun CoroutineScope.readAll(connection: PeerConnection) {
+        val unknownMessages = UnknownMessageLog(peer)
         while (isActive) {
             val bytes = connection.read()
             onReceived(bytes.size)
-            val frame = FrameCodec.decode(bytes).fold({ throw IOException(it) }, { it })
+            val frame = FrameCodec.decode(bytes).getOrElse { failedAnswer(it, unknownMessages) }
             lastReceivedAt = clock.elapsed()
             onFrame(frame)
             calls[frame.callId]?.answer?.complete(frame.message)
         }
     }
 
+    /** Turns an answer that this build does not know into a failure, which ends its call. */
+    private fun failedAnswer(
+        error: FrameError,
+        log: UnknownMessageLog,
+    ): Frame {
+        if (error !is FrameError.UnknownMessage) throw IOException(error.reason)
+        log.record(error.reason)
+        return Frame(error.header.callId, error.header.reply, error.header.stamp, error.toFailure())
+    }
+
     /**
      * Closes the connection if nothing was received for [PeerOptions.silenceTimeout] although a frame was sent since. Sends a ping after
      * half that time, so that a live connection is not closed only because no answer was due.
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -205,21 +205,46 @@
     private suspend fun serve(connection: PeerConnection): Unit =
         coroutineScope {
             val answers = Channel<Frame>(options.queueLength)
+            val unknownMessages = UnknownMessageLog(connection.peer)
             launch { writeAnswers(connection, answers) }
             while (true) {
                 val bytes = connection.read()
                 onReceived(bytes.size)
-                val frame = FrameCodec.decode(bytes).fold({ throw IOException(it) }, { it })
-                hybridClock.observe(frame.stamp)
-                when (frame.message) {
-                    is PeerMessage.Replica -> handler.handle(connection.peer, frame.message)
-                    is PeerMessage.Ping -> answers.send(Frame(frame.callId, true, hybridClock.next(), PeerMessage.Ack))
-                    else -> launch { serve(connection.peer, frame, answers) }
+                when (val decoded = FrameCodec.decode(bytes)) {
+                    is Either.Right -> serve(connection.peer, decoded.value, answers)
+                    is Either.Left -> rejectUnknown(connection.peer, decoded.value, answers, unknownMessages)
                 }
             }
         }
 
-    private suspend fun serve(
+    private suspend fun CoroutineScope.serve(
+        peer: String,
+        frame: Frame,
+        answers: Channel<Frame>,
+    ) {
+        hybridClock.observe(frame.stamp)
+        when (frame.message) {
+            is PeerMessage.Replica -> handler.handle(peer, frame.message)
+            is PeerMessage.Ping -> answers.send(Frame(frame.callId, true, hybridClock.next(), PeerMessage.Ack))
+            else -> launch { handle(peer, frame, answers) }
+        }
+    }
+
+    /** Answers a message that this build does not know with a failure. The connection stays open, since other messages depend on it. */
+    private suspend fun rejectUnknown(
+        peer: String,
+        error: FrameError,
+        answers: Channel<Frame>,
+        log: UnknownMessageLog,
+    ) {
+        if (error !is FrameError.UnknownMessage) throw IOException(error.reason)
+        hybridClock.observe(error.header.stamp)
+        log.record(error.reason)
+        val callId = error.header.callId
+        if (callId != NO_CALL) answers.send(Frame(callId, true, hybridClock.next(), error.toFailure()))
+    }
+
+    private suspend fun handle(
         peer: String,
         frame: Frame,
         answers: Channel<Frame>,
