Keep a data folder that only another build can read as it is

A machine that goes back to the build before finds records in its data folder that this build does not know. Their checksums are right, but they counted as damaged: the folder was set aside and the replica started without its log under a new identity. If all machines go back together, what was acknowledged to operators is gone.

A record whose checksum is right but which cannot be decoded is now reported apart (UnknownRecordException). The folder stays as it is for the build that can read it, and the instance runs on without a replica, logged as replica_suspended. It does not end, since it would only be started again on the same folder. Damage, a wrong checksum, is set aside as before; a flipped bit anywhere is still damage (FileStorageSpec).

Ruled out: reading past such a record. The replica would apply something else than the others, or vote on a log that it does not have.

--- a/state/src/main/kotlin/anvilslip/state/FileStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/FileStorage.kt
@@ -16,7 +16,8 @@
  * [Storage] in a data folder with the files `identity`, `snapshot` and `log-N`; the log file with the highest number is in use.
  *
  * Each log file starts with the vote and the entries after the snapshot, so older log files are deleted once it is synced.
- * A torn last write, as left by a crash, is truncated after its last complete record. Any other damage raises [StorageException].
+ * A torn last write, as left by a crash, is truncated after its last complete record. Any other damage raises [StorageException], and a
+ * record that only another build can read raises [UnknownRecordException].
  *
  * @param onSync called after each sync of the log
  */
@@ -129,10 +130,19 @@
     private fun readSnapshot(): Snapshot? {
         val path = folder.resolve("snapshot")
         if (!path.exists()) return null
-        val decoded = buffer.read(path) { RecordCodec.decode(Snapshot.serializer(), it) }
-        return (decoded as? Decoded.Complete)?.value ?: throw StorageException("$path is damaged")
+        return when (val decoded = buffer.read(path) { RecordCodec.decode(Snapshot.serializer(), it) }) {
+            is Decoded.Complete -> decoded.value
+            Decoded.Damaged, Decoded.Torn -> throw StorageException("$path is damaged")
+            is Decoded.Unknown -> throw unknownRecord(path, 0, decoded)
+        }
     }
 
+    private fun unknownRecord(
+        path: Path,
+        position: Long,
+        record: Decoded.Unknown,
+    ) = UnknownRecordException("this build cannot read the record at byte $position of $path: ${record.reason}")
+
     private fun readLog(path: Path): LogContents = buffer.read(path) { readRecords(it, path) }
 
     private fun readRecords(
@@ -147,6 +157,7 @@
                 is Decoded.Complete -> vote = applyRecord(decoded.value, entries) ?: vote
                 Decoded.Torn -> return LogContents(vote, entries).also { truncateFile(path, start) }
                 Decoded.Damaged -> throw StorageException("$path is damaged at byte $start")
+                is Decoded.Unknown -> throw unknownRecord(path, start, decoded)
             }
         }
         return LogContents(vote, entries)
--- a/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecordCodec.kt
@@ -24,6 +24,11 @@
 
         /** The record is complete, but its content is not what was written. */
         data object Damaged : Decoded<Nothing>
+
+        /** The record is what was written, but this build cannot read it. */
+        data class Unknown(
+            val reason: String?,
+        ) : Decoded<Nothing>
     }
 
     const val HEADER_BYTES = 12
@@ -65,10 +70,10 @@
     ): Decoded<T> =
         try {
             Decoded.Complete(cbor.decodeFromByteArray(serializer, body))
-        } catch (_: SerializationException) {
-            Decoded.Damaged
-        } catch (_: IllegalArgumentException) {
-            Decoded.Damaged
+        } catch (e: SerializationException) {
+            Decoded.Unknown(e.message)
+        } catch (e: IllegalArgumentException) {
+            Decoded.Unknown(e.message)
         }
 
     /**
--- a/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
+++ b/state/src/main/kotlin/anvilslip/state/RecoveringStorage.kt
@@ -26,8 +26,8 @@
         try {
             storage.recover()
         } catch (e: StorageException) {
-            // An I/O error, such as a full disk, does not mean that the stored data is damaged.
-            if (e.cause is IOException) throw e
+            // An I/O error, such as a full disk, does not mean that the stored data is damaged; the build that wrote a record can read it.
+            if (e.cause is IOException || e is UnknownRecordException) throw e
             moveDamagedFiles(e)
             storage = FileStorage(folder, onSync)
             storage.recover()
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -95,9 +95,9 @@
 
     @OptIn(ExperimentalCoroutinesApi::class)
     override suspend fun start() {
-        open()
+        val isOpen = openIfReadable()
         scope = CoroutineScope(Dispatchers.IO.limitedParallelism(1, "replica"))
-        scope.launch { run() }
+        scope.launch { if (isOpen) run() else rejectInputs() }
     }
 
     override suspend fun stop() {
@@ -173,6 +173,24 @@
         }
     }
 
+    /**
+     * Opens the storage; returns false if only another build can read it. The instance then runs on without a replica, and the data stays
+     * as it is for that build.
+     */
+    private fun openIfReadable(): Boolean =
+        try {
+            open()
+            true
+        } catch (e: UnknownRecordException) {
+            log.error("replica_suspended", "error" to e)
+            storage.close()
+            false
+        }
+
+    private suspend fun rejectInputs(): Nothing {
+        while (true) rejectWhileSuspended(inputs.receive())
+    }
+
     private fun open() {
         val recovered = storage.recover()
         announcedState = null
