Start with settings that have keys of another build

During an upgrade a process may be started with a file that the template of the other build has filled in. A key that it did not know ended the process with status 2, each time it was started again, so its machine would have been missing for as long as both builds run.

GatewaySettingsReaderSpec has two more cases, of nine that pass: the key is ignored with a warning, and the template of this build has only keys that it knows, since a misspelt one would now go unnoticed on instances. SettingsReaderSpec passes.

--- a/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/GatewaySettingsReader.kt
@@ -12,6 +12,13 @@
 public class GatewaySettingsReader {
     private val findings = Findings()
 
+    /**
+     * Findings that do not prevent a start: unknown keys. During an upgrade the template of another build may have filled in the file, and a
+     * process that did not start because of it would be missing while both builds run.
+     */
+    public var warnings: List<Finding> = emptyList()
+        private set
+
     /** Reads settings from [file]; relative paths are resolved against its folder. */
     public fun read(file: Path): Either<List<Finding>, GatewaySettings> = SettingsSource(findings).read(file, ::readSettings)
 
@@ -62,7 +69,7 @@
                 relayPort = root.int("relayPort", PORTS, firstFreePort(peerPort, metricsPort)),
                 zones = root.names("zones"),
             )
-        root.reportUnknownKeys()
+        warnings = root.unknownKeys()
         findings.check(settings.seeds.isNotEmpty(), root.placeOf("seeds")) { "must name at least one control instance" }
         findings.check(settings.clients != null || settings.control != null, root.place) { "needs 'clients' or 'control'" }
         findings.check(settings.control == null || settings.dataFolder != null, root.placeOf("dataFolder")) { "is needed for 'control'" }
--- a/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
+++ b/settings/src/main/kotlin/anvilslip/settings/ObjectReader.kt
@@ -1,5 +1,6 @@
 package anvilslip.settings
 
+import anvilslip.kernel.Finding
 import anvilslip.kernel.Findings
 import anvilslip.kernel.Place
 import kotlin.time.Duration
@@ -102,11 +103,13 @@
         return emptyList()
     }
 
-    /** Reports unknown keys: those that no call has read. Call it after all members have been read. */
-    fun reportUnknownKeys() {
-        for ((key, value) in value.members) {
-            if (key !in requestedKeys) findings.add(value.place, "unknown key; known here: ${requestedKeys.sorted().joinToString()}")
-        }
+    /** Reports unknown keys as findings, see [unknownKeys]. */
+    fun reportUnknownKeys(): Unit = unknownKeys().forEach { findings.add(it.place, it.message) }
+
+    /** Returns a finding about each unknown key: those that no call has read. Call it after all members have been read. */
+    fun unknownKeys(): List<Finding> {
+        val message = "unknown key; known here: ${requestedKeys.sorted().joinToString()}"
+        return value.members.filterKeys { it !in requestedKeys }.map { (_, member) -> Finding(member.place, message) }
     }
 
     private fun member(key: String): LocatedValue? {
--- a/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
+++ b/settings/src/test/kotlin/anvilslip/settings/GatewaySettingsReaderSpec.kt
@@ -1,8 +1,12 @@
 package anvilslip.settings
 
 import io.kotest.core.spec.style.DescribeSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
 import kotlin.io.path.Path
+import kotlin.io.path.readText
 import kotlin.time.Duration.Companion.seconds
 
 class GatewaySettingsReaderSpec :
@@ -57,6 +61,23 @@
                 findings(validSettings.replace("clients", "control")) shouldBe listOf("is needed for 'control'")
             }
 
+            // Guards against processes that do not start during an upgrade, since the template of the other build has filled in their settings.
+            it("ignores a key that only another build knows, with a warning") {
+                val reader = GatewaySettingsReader()
+                val text = validSettings.replace("{", "{\"addedLater\": {\"x\": [1]}, ")
+                reader.read(text, "settings", Path("/etc")).getOrNull() shouldBe read(validSettings).getOrNull()
+                reader.warnings.single().message shouldStartWith "unknown key; known here: "
+            }
+
+            // Guards against a misspelt key of the template, which would be ignored on every instance.
+            it("knows all keys of the template") {
+                val keys = Regex("\"(\\w+)\": ").findAll(Path("../deploy/settings.json").readText()).map { it.groupValues[1] }
+                val reader = GatewaySettingsReader()
+                reader.read(keys.joinToString(prefix = "{", postfix = "}") { "\"$it\": null" }, "template", Path("/etc"))
+                keys.count() shouldBeGreaterThan 10
+                reader.warnings.map { it.message }.shouldBeEmpty()
+            }
+
             it("reports all findings at once") {
                 findings(validSettings.replace("7601", "7600").replace("10.0.0.1:80", "here")) shouldBe
                     listOf("expected host:port, not 'here'", "needs 'clients' or 'control'", "is the same as peerPort")
