--- a/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerLink.kt
@@ -4,6 +4,7 @@
 import anvilslip.kernel.EventLogger
 import anvilslip.kernel.SizedQueue
 import anvilslip.kernel.isFatal
+import arrow.core.getOrElse
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
@@ -50,6 +51,11 @@
 
     val isConnected: Boolean get() = currentConnection != null
 
+    /** [PeerLevel] of the peer's build; the lowest until the peer has sent something on this connection. */
+    @Volatile
+    var peerLevel = PeerLevel.CLOSES_ON_UNKNOWN
+        private set
+
     /** Queues [frame]. Returns false if the queue is full. */
     fun send(frame: Frame): Boolean = outgoing.trySend(frame)
 
@@ -73,6 +79,8 @@
                 lastReceivedAt = clock.elapsed()
                 lastSentAt = lastReceivedAt
                 log.info("peer_connected", "peer" to peer)
+                // The answer states the level of the peer's build.
+                send(ping())
                 serve(connection)
             } catch (e: Throwable) {
                 if (e.isFatal) throw e
@@ -81,6 +89,7 @@
                 if (currentConnection != null) log.info("peer_disconnected", "peer" to peer, "error" to e.message)
             } finally {
                 currentConnection = null
+                peerLevel = PeerLevel.CLOSES_ON_UNKNOWN
                 failCalls()
             }
             delay(options.reconnectDelay)
@@ -112,16 +121,28 @@
     }
 
     private suspend fun CoroutineScope.readAll(connection: PeerConnection) {
+        val unknownMessages = UnknownMessageLog(peer)
         while (isActive) {
             val bytes = connection.read()
             onReceived(bytes.size)
-            val frame = FrameCodec.decode(bytes).fold({ throw IOException(it) }, { it })
+            val frame = FrameCodec.decode(bytes).getOrElse { failedAnswer(it, unknownMessages) }
             lastReceivedAt = clock.elapsed()
+            peerLevel = frame.level
             onFrame(frame)
             calls[frame.callId]?.answer?.complete(frame.message)
         }
     }
 
+    /** Turns an answer that this build does not know into a failure, which ends its call. */
+    private fun failedAnswer(
+        error: FrameError,
+        log: UnknownMessageLog,
+    ): Frame {
+        if (error !is FrameError.UnknownMessage) throw IOException(error.reason)
+        log.record(error.reason)
+        return error.header.run { Frame(callId, reply, stamp, error.toFailure(), level) }
+    }
+
     /**
      * Closes the connection if nothing was received for [PeerOptions.silenceTimeout] although a frame was sent since. Sends a ping after
      * half that time, so that a live connection is not closed only because no answer was due.
