Send synthetic engine orders before traffic, so that a new leader's first orders run compiled code

DispatchWarmUp covers only decisions and the codec of three messages.

EngineOrderWarmUp sends 320 orders and inventory queries through the engine client of the dialect and an HttpClient to an HttpServer on the loopback address, in batches of four with pauses of 20 ms. WarmUpService runs it at the control instances of a new deployment once a configuration with engines is known, ends it with the first request for admission, and only logs a failure. A restarted instance does not run it.

Evidence: EngineOrderWarmUpSpec (answered; threads and port released after a run, a cancellation and a failure) and WarmUpServiceSpec.

--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -49,6 +50,9 @@
     internal var channel: Channel? = null
         private set
 
+    /** Port that the server listens on, also if the system has chosen it; null before the server is started. */
+    public val boundPort: Int? get() = (channel?.localAddress() as? InetSocketAddress)?.port
+
     /** Number of requests being handled. */
     public val active: Int get() = job.children.count()
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -203,7 +203,18 @@
                     AdmissionMetrics(metrics),
                 ),
             )
-        kernel.install(DispatchWarmUp(clusterView, options) { replica.view.state.document != null })
+        val hasStoredConfiguration = { replica.view.state.document != null }
+        kernel.install(DispatchWarmUp(clusterView, options, hasStoredConfiguration))
+        val orderWarmUp =
+            kernel.install(
+                WarmUpService(
+                    name = "order-warm-up",
+                    clock = clock,
+                    isNeeded = { !hasStoredConfiguration() },
+                    isDue = ::hasEngines,
+                    work = EngineOrderWarmUp(dialects, clock),
+                ),
+            )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
@@ -214,9 +225,20 @@
         }
         val streams = StreamRegistry(clock)
         val lookup = StreamLookup(streams, clusterView, replica::view, clock) { dispatch.electedAt }
-        return ControlRouter(replica, watchResponder, dispatch, operations, streams, lookup)
+        val router = ControlRouter(replica, watchResponder, dispatch, operations, streams, lookup)
+        return PeerHandler { from, message ->
+            if (message is PeerMessage.Admit) orderWarmUp.recordTraffic()
+            router.handle(from, message)
+        }
     }
 
+    private fun hasEngines(): Boolean =
+        clusterView.active.configuration
+            ?.services
+            .orEmpty()
+            .values
+            .any { it.engine != null }
+
     private fun replica(restoreQuarantines: (ReplicatedState) -> Unit): Replica {
         lateinit var replica: Replica
         val transport =
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayDialects.kt
@@ -12,6 +12,9 @@
     /** Format of client requests and of the responses of backend servers. */
     public val requests: RequestDialect
 
+    /** Messages for synthetic exchanges. */
+    public val samples: WarmUpSamples
+
     /** Creates a client that sends orders to engines through [client] and names [holder] as their sender. */
     public fun engineClient(
         client: HttpClient,
--- a/gateway/src/test/kotlin/anvilslip/gateway/ConfirmedConfigurationSpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ConfirmedConfigurationSpec.kt
@@ -44,6 +44,7 @@
         class Dialects : GatewayDialects {
             override val documents = DocumentDialect { ServingConfiguration(1).right() }
             override val requests = TestDialect
+            override val samples = TestSamples
 
             override fun engineClient(
                 client: HttpClient,
