--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -32,6 +32,7 @@
     private val onEvacuationChange: (zone: String, isActive: Boolean) -> Unit = { _, _ -> },
     /** Called with the version of each configuration document that comes into force. */
     private val onVersionChange: (version: Long) -> Unit = {},
+    private val log: EventLogger = EventLogger("knowledge"),
 ) {
     /** The active configuration document, its parsed form, and the versions set for adapters. */
     public data class ActiveConfiguration(
@@ -62,7 +63,6 @@
         val revision: Long,
     )
 
-    private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
     private val contact = ContactClock()
     private val entries = EntryCount()
