--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -34,8 +35,8 @@
     private val currentOptions: () -> HttpServerOptions = { options },
     /** Bounds the bodies of all requests; shared by the servers of an instance. */
     private val bodies: BodyBudget = BodyBudget(),
+    private val log: EventLogger = EventLogger("http"),
 ) : Service {
-    private val log = EventLogger("http")
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
@@ -49,6 +50,9 @@
     internal var channel: Channel? = null
         private set
 
+    /** Port that the server listens on, also if the system has chosen it; null before the server is started. */
+    public val boundPort: Int? get() = (channel?.localAddress() as? InetSocketAddress)?.port
+
     /** Number of requests being handled. */
     public val active: Int get() = job.children.count()
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.entry.http.BodyBudget
 import anvilslip.entry.http.HttpClient
+import anvilslip.entry.http.HttpHandler
 import anvilslip.entry.http.HttpServer
 import anvilslip.entry.http.HttpServerOptions
 import anvilslip.kernel.Clock
@@ -203,7 +204,18 @@
                     AdmissionMetrics(metrics),
                 ),
             )
-        kernel.install(DispatchWarmUp(clusterView, options) { replica.view.state.document != null })
+        val hasStoredConfiguration = { replica.view.state.document != null }
+        kernel.install(DispatchWarmUp(clusterView, options, hasStoredConfiguration))
+        val orderWarmUp =
+            kernel.install(
+                WarmUpService(
+                    name = "order-warm-up",
+                    clock = clock,
+                    isNeeded = { !hasStoredConfiguration() },
+                    isDue = ::hasEngines,
+                    work = EngineOrderWarmUp(dialects, clock),
+                ),
+            )
         val operations = ControlOperations(dialects.documents, clusterView, replica, network, watchResponder, settings.zones, clock)
         val http = HttpServerOptions(maxBodyBytes = MAX_DOCUMENT_BYTES)
         kernel.install(HttpServer("control", settings.control!!, dialects.control(operations), http, threads = 1, bodies = bodies))
@@ -214,9 +226,20 @@
         }
         val streams = StreamRegistry(clock)
         val lookup = StreamLookup(streams, clusterView, replica::view, clock) { dispatch.electedAt }
-        return ControlRouter(replica, watchResponder, dispatch, operations, streams, lookup)
+        val router = ControlRouter(replica, watchResponder, dispatch, operations, streams, lookup)
+        return PeerHandler { from, message ->
+            if (message is PeerMessage.Admit) orderWarmUp.recordTraffic()
+            router.handle(from, message)
+        }
     }
 
+    private fun hasEngines(): Boolean =
+        clusterView.active.configuration
+            ?.services
+            .orEmpty()
+            .values
+            .any { it.engine != null }
+
     private fun replica(restoreQuarantines: (ReplicatedState) -> Unit): Replica {
         lateinit var replica: Replica
         val transport =
@@ -286,8 +309,21 @@
                 retryBudget = ::retryBudget,
             )
         forwarder = clientHandler
-        frontend =
-            kernel.install(HttpServer("clients", address, clientHandler, threads = 1, currentOptions = ::clientOptions, bodies = bodies))
+        val warmUp =
+            kernel.install(
+                WarmUpService(
+                    name = "request-warm-up",
+                    clock = clock,
+                    isDue = { clusterView.active.configuration != null },
+                    work = RequestPathWarmUp(dialects, clock),
+                ),
+            )
+        val handler =
+            HttpHandler { call, responder ->
+                warmUp.recordTraffic()
+                clientHandler.handle(call, responder)
+            }
+        frontend = kernel.install(HttpServer("clients", address, handler, threads = 1, currentOptions = ::clientOptions, bodies = bodies))
         settings.readiness?.let {
             kernel.install(
                 HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1, bodies = bodies),
