Close idle connections when their time is over, and keep none that no request can use

Cause: a request that may run only once always opens a new connection, and after its answer the connection went into a pool of up to 64 per address and instance. Idle connections expired only when another request polled that pool, which these requests never do. All instances together reach the limit of the servers, 3 x 460, and further connections are reset.

The number of answered requests at which resets begin is near 3 x 460. Ruled out: a lack of processor time, since resets also begin there without it.

A connection of a request that needs a new one is now closed after its answer, unless other requests have asked for idle connections to the address within the idle time and none is kept; then one stays. The other connections are closed by one timer for each address instead of at the next request. An instance keeps at most its share of half the limit of a server: 3 of 460 at 66 instances, 6 of 110 at 9, and 4 until the number of instances is known, where it was 64.

--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -90,6 +91,14 @@
         context.close()
     }
 
+    /** Runs [action] on the event loop of the connection after [delay], also if the connection is closed by then. */
+    fun schedule(
+        delay: Duration,
+        action: () -> Unit,
+    ) {
+        context.channel().eventLoop().schedule(action, delay.inWholeNanoseconds, TimeUnit.NANOSECONDS)
+    }
+
     private fun onEventLoop(action: () -> Unit) = context.channel().eventLoop().execute(action)
 
     /** Closes the connection if [abandoned] is still being received. After the event loop has ended there is none. */
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -23,7 +23,6 @@
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -33,7 +32,7 @@
 public class HttpClient(
     private val connectTimeout: Duration = 1.seconds,
     threads: Int = 2,
-    /** Longest time that an idle connection stays in the pool. */
+    /** Time after which an idle connection is closed. */
     private val maxIdle: Duration = 30.seconds,
     private val clock: Clock = SystemClock,
     /** Called on the thread of a connection for each answer that does not name the request that was waiting; must not block. */
@@ -43,16 +42,10 @@
     /** Name in the service registry, for an instance with several clients. */
     serviceName: String = NAME,
 ) : Service {
-    /** A pooled connection. */
-    private class Pooled(
-        val connection: ClientConnection,
-        val expiresAt: Duration,
-    )
-
     override val name: String = serviceName
     private val log = EventLogger(serviceName)
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
-    private val idleConnections = ConcurrentHashMap<String, ConcurrentLinkedDeque<Pooled>>()
+    private val idleConnections = ConcurrentHashMap<String, IdleConnections>()
     private val bootstrap =
         Bootstrap()
             .group(group)
@@ -75,7 +68,10 @@
         request: HttpClientRequest,
         readTimeout: Duration,
     ): HttpClientResponse {
-        val pooled = if (needsNewConnection(request)) null else pollIdle(address)
+        val needsNew = needsNewConnection(request)
+        val pool = idleConnections.computeIfAbsent(address) { IdleConnections(maxIdle, clock) }
+        pool.limit = request.maxIdle
+        val pooled = if (needsNew) null else pool.poll()
         if (pooled != null) {
             try {
                 return send(pooled, address, request, readTimeout)
@@ -83,7 +79,10 @@
                 log.debug("connection_replaced", "address" to address, "reason" to e.message)
             }
         }
-        return send(connect(address), address, request, readTimeout)
+        val onIdle = { connection: ClientConnection, serverIdleLimit: Duration?, isFirst: Boolean ->
+            pool.offer(connection, idleTime(serverIdleLimit), isSurplus = isFirst && needsNew)
+        }
+        return send(connect(address, onIdle), address, request, readTimeout)
     }
 
     /** An answer to an earlier exchange could be taken for the answer to a request that its answer does not name. */
@@ -151,10 +150,13 @@
             e.cause is ConnectException && e.cause !is ConnectTimeoutException
         }
 
-    private suspend fun connect(address: String): ClientConnection {
+    private suspend fun connect(
+        address: String,
+        onIdle: IdleListener = { connection, _, _ -> connection.close() },
+    ): ClientConnection {
         val connection =
             try {
-                establish(address)
+                establish(address, onIdle)
             } catch (e: HttpClientException.NotSent) {
                 onConnect(address, false)
                 throw e
@@ -163,13 +165,20 @@
         return connection
     }
 
-    private suspend fun establish(address: String): ClientConnection {
+    private suspend fun establish(
+        address: String,
+        onIdle: IdleListener,
+    ): ClientConnection {
         val host = address.substringBeforeLast(':')
         val port = address.substringAfterLast(':').toIntOrNull()?.takeIf { it in PORTS }
         if (port == null) throw HttpClientException.NotSent("'$address' is not host:port")
         val probe = WriteProbe()
+        var isFirst = true
         val connection =
-            ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit -> returnToPool(address, idle, serverIdleLimit) }
+            ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit ->
+                onIdle(idle, serverIdleLimit, isFirst)
+                isFirst = false
+            }
         try {
             withTimeoutOrNull(connectTimeout) {
                 bootstrap
@@ -200,25 +209,8 @@
         }
     }
 
-    private fun pollIdle(address: String): ClientConnection? {
-        val connections = idleConnections[address] ?: return null
-        while (true) {
-            val pooled = connections.pollLast() ?: return null
-            if (pooled.connection.isActive && clock.elapsed() < pooled.expiresAt) return pooled.connection
-            pooled.connection.close()
-        }
-    }
-
-    private fun returnToPool(
-        address: String,
-        connection: ClientConnection,
-        serverIdleLimit: Duration?,
-    ) {
-        val ttl = serverIdleLimit?.let { minOf(maxIdle, it * KEEP_ALIVE_FRACTION) } ?: maxIdle
-        val connections = idleConnections.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        val isKept = connections.size < MAX_IDLE && connection.isActive
-        if (isKept) connections.addLast(Pooled(connection, clock.elapsed() + ttl)) else connection.close()
-    }
+    private fun idleTime(serverIdleLimit: Duration?): Duration =
+        serverIdleLimit?.let { minOf(maxIdle, it * KEEP_ALIVE_FRACTION) } ?: maxIdle
 
     private fun nettyRequest(
         address: String,
@@ -235,7 +227,6 @@
     public companion object {
         /** Service name. */
         public const val NAME: String = "http-client"
-        private const val MAX_IDLE = 64
         private val PORTS = 1..65535
 
         /** Fraction of the keep-alive timeout of the server after which a connection is dropped, so that it is not closed during reuse. */
@@ -245,3 +236,6 @@
         private const val DEFAULT_MAX_BYTES = 16 * 1024 * 1024
     }
 }
+
+/** Called when an exchange of a connection has ended; tells how long the server keeps the connection, and whether it was its first. */
+private typealias IdleListener = (connection: ClientConnection, serverIdleLimit: Duration?, isFirst: Boolean) -> Unit
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientRequest.kt
@@ -17,4 +17,11 @@
     public val correlation: Correlation? = null,
     /** Tells whether a byte of the request may have been written; null if its sender does not need to know. */
     public val gate: SendGate? = null,
-)
+    /** Idle connections to the address that are kept at most. */
+    public val maxIdle: Int = DEFAULT_MAX_IDLE,
+) {
+    public companion object {
+        /** Idle connections to one address that are kept if the request does not limit them. */
+        public const val DEFAULT_MAX_IDLE: Int = 16
+    }
+}
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -267,7 +267,15 @@
         val withdraw = { number: Long -> progress.recordStep(number, RequestStep.ENDED) }
         val admissionClient = AdmissionClient(network::call, clusterView, local, clock, withdraw, delegates)
         val availability = ServerAvailability(clusterView, clock)
-        val sender = RequestSender(installTransport(), dialects.requests, progress, availability, clock, reachability::isIsolated)
+        val sender =
+            RequestSender(installTransport(), dialects.requests, progress, availability, clock, reachability::isIsolated) {
+                IdleConnectionShare.of(
+                    clusterView.active.configuration
+                        ?.services
+                        ?.get(it),
+                    clusterView.entryCount,
+                )
+            }
         val crashDetector = kernel.install(CrashDetector(client, clusterView))
         val clientHandler =
             Forwarder(
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -21,6 +21,8 @@
     private val clock: Clock,
     /** True while this instance cannot reach the servers, so that its failures say nothing of them. */
     private val isIsolated: () -> Boolean = { false },
+    /** Idle connections that are kept for each server of a service. */
+    private val maxIdle: (service: String) -> Int = { HttpClientRequest.DEFAULT_MAX_IDLE },
 ) {
     suspend fun send(
         exchange: Exchange,
@@ -79,6 +81,7 @@
             host = request.call.header("host"),
             correlation = dialect.correlationOf(request),
             gate = attempt.gate,
+            maxIdle = maxIdle(exchange.service),
         )
     }
 
