--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpServer.kt
@@ -35,8 +35,8 @@
     private val currentOptions: () -> HttpServerOptions = { options },
     /** Bounds the bodies of all requests; shared by the servers of an instance. */
     private val bodies: BodyBudget = BodyBudget(),
-    private val log: EventLogger = EventLogger("http"),
 ) : Service {
+    private val log = EventLogger("http")
     private val group = MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
     private val job = SupervisorJob()
     private val scope = CoroutineScope(job + Dispatchers.Default)
--- a/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ClusterView.kt
@@ -32,7 +32,6 @@
     private val onEvacuationChange: (zone: String, isActive: Boolean) -> Unit = { _, _ -> },
     /** Called with the version of each configuration document that comes into force. */
     private val onVersionChange: (version: Long) -> Unit = {},
-    private val log: EventLogger = EventLogger("knowledge"),
 ) {
     /** The active configuration document, its parsed form, and the versions set for adapters. */
     public data class ActiveConfiguration(
@@ -63,6 +62,7 @@
         val revision: Long,
     )
 
+    private val log = EventLogger("knowledge")
     private val fleet = FleetTable()
     private val contact = ContactClock()
     private val entries = EntryCount()
--- a/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
@@ -13,6 +13,7 @@
 import anvilslip.policy.RequestStep
 import anvilslip.policy.ServerReport
 import anvilslip.policy.ServingConfiguration
+import anvilslip.wire.PeerFormat
 import anvilslip.wire.PeerMessage
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -21,6 +22,7 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.yield
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,6 +32,7 @@
  * renewal of the lease. Uses a [Dispatcher] of its own whose decisions are discarded. Runs only if no configuration is stored when the
  * instance starts.
  */
+@OptIn(ExperimentalSerializationApi::class)
 internal class DispatchWarmUp(
     private val clusterView: ClusterView,
     private val options: DispatchOptions,
@@ -91,7 +94,7 @@
         }
 
         private fun decide(request: DispatchRequest): Boolean {
-            val received = (roundTrip(PeerMessage.Admit(request)) as PeerMessage.Admit).demand
+            val received = (transmit(PeerMessage.Admit(request)) as PeerMessage.Admit).demand
             repeat(MAX_STEPS) {
                 when (val admission = dispatcher.admit(received, now)) {
                     is Admission.Decided -> return reply(admission.decision) is DispatchDecision.Send
@@ -102,11 +105,16 @@
             return false
         }
 
-        private fun reply(decision: DispatchDecision) = (roundTrip(PeerMessage.AdmitReply(1, decision)) as PeerMessage.AdmitReply).decision
+        private fun reply(decision: DispatchDecision) = (transmit(PeerMessage.AdmitReply(1, decision)) as PeerMessage.AdmitReply).decision
+
+        private fun transmit(message: PeerMessage): PeerMessage {
+            val bytes = PeerFormat.cbor.encodeToByteArray(PeerMessage.serializer(), message)
+            return PeerFormat.cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+        }
 
         private fun finish(number: Int) {
             val events = listOf(RequestStep.ANSWERING, RequestStep.ENDED).map { RequestEvent(number.toLong(), it) }
-            val received = roundTrip(PeerMessage.Progress(ENTRY, events)) as PeerMessage.Progress
+            val received = transmit(PeerMessage.Progress(ENTRY, events)) as PeerMessage.Progress
             dispatcher.applyEvents(received.entry, received.events, now)
         }
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/EngineOrderWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/EngineOrderWarmUp.kt
@@ -3,7 +3,6 @@
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
 import anvilslip.kernel.Clock
-import anvilslip.kernel.EventLogger
 import anvilslip.settings.Address
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
@@ -20,7 +19,7 @@
     private val exchanges: Int = EXCHANGES,
 ) : WarmUpWork {
     override suspend fun run(): WarmUpWork.Result {
-        val server = HttpServer(NAME, Address(LOOPBACK, 0), dialects.samples.engine, threads = 1, log = EventLogger.discarding())
+        val server = HttpServer(NAME, Address(LOOPBACK, 0), dialects.samples.engine, threads = 1)
         val client = HttpClient(TIMEOUT, threads = 1, clock = clock, serviceName = NAME)
         try {
             server.start()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -4,7 +4,6 @@
 import anvilslip.entry.http.HttpResponder
 import anvilslip.entry.http.HttpServerRequest
 import anvilslip.kernel.Clock
-import anvilslip.kernel.EventLogger
 import anvilslip.policy.DispatchDecision
 import anvilslip.policy.DispatchRefusal
 import anvilslip.policy.DispatchRequest
@@ -38,9 +37,8 @@
     metrics: GatewayMetrics,
     private val clock: Clock,
     private val retryBudget: () -> RetryBudget,
-    events: EventLogger = EventLogger("request"),
 ) : HttpHandler {
-    private val log = RequestLog(metrics, clock, events)
+    private val log = RequestLog(metrics, clock)
     private val lastNumber = AtomicLong()
     private val suspects = clusterView.suspects
     private val retryBudgets = ConcurrentHashMap<String, RetryBudget>()
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -2,7 +2,6 @@
 
 import anvilslip.entry.http.BodyBudget
 import anvilslip.entry.http.HttpClient
-import anvilslip.entry.http.HttpHandler
 import anvilslip.entry.http.HttpServer
 import anvilslip.entry.http.HttpServerOptions
 import anvilslip.kernel.Clock
@@ -317,21 +316,8 @@
                 retryBudget = ::retryBudget,
             )
         forwarder = clientHandler
-        val warmUp =
-            kernel.install(
-                WarmUpService(
-                    name = "request-warm-up",
-                    clock = clock,
-                    isDue = { clusterView.active.configuration != null },
-                    work = RequestPathWarmUp(dialects, clock),
-                ),
-            )
-        val handler =
-            HttpHandler { call, responder ->
-                warmUp.recordTraffic()
-                clientHandler.handle(call, responder)
-            }
-        frontend = kernel.install(HttpServer("clients", address, handler, threads = 1, currentOptions = ::clientOptions, bodies = bodies))
+        frontend =
+            kernel.install(HttpServer("clients", address, clientHandler, threads = 1, currentOptions = ::clientOptions, bodies = bodies))
         settings.readiness?.let {
             kernel.install(
                 HttpServer("readiness", it, dialects.readiness { isReady }, threads = 1, bodies = bodies),
--- a/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ProgressReporter.kt
@@ -9,8 +9,8 @@
 import anvilslip.policy.RequestStep
 import anvilslip.policy.RunningRequest
 import anvilslip.policy.StreamRecord
-import anvilslip.wire.PeerLinks
 import anvilslip.wire.PeerMessage
+import anvilslip.wire.PeerNetwork
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -24,7 +24,7 @@
 /** Reports the progress of admitted requests to the leader, and all running requests to a new leader. */
 public class ProgressReporter(
     private val host: String,
-    private val network: PeerLinks,
+    private val network: PeerNetwork,
     private val clusterView: ClusterView,
     private val clock: Clock = SystemClock,
     private val streams: StreamRegistry = StreamRegistry(clock),
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -9,8 +9,9 @@
 internal class RequestLog(
     private val metrics: GatewayMetrics,
     private val clock: Clock,
-    private val log: EventLogger,
 ) {
+    private val log = EventLogger("request")
+
     /** Records a request that was rejected before admission, for example without a route. */
     fun recordDenial(
         request: ClientRequest,
