Learn how long engines take to load an adapter, and ask none what it holds while it loads

Callers saw requests turned away (421) just before their adapter was usable, and sent again to another engine, late.

An answer "not held" was taken as a sign that the inventory of the engine is out of date, so the engine got no orders until it had been queried.

The dispatcher now keeps an estimate of the load time from the weight store. A request that was turned away before any request had used the adapter raises it at once to 20 ms above the time that the load had by then; each load whose first request is answered lowers it by 0.2 %. It stays between 100 ms and 2 s. The concurrency of loads is taken out of an observation. Such a request delays those after it until the load is expected to end, and the engine is not queried. An adapter that had been used, or whose load was accepted more than 2 s ago, is treated as before. Reloads from the memory of an engine are neither learnt from nor estimated.

Not changed: an entry instance still excludes an engine that has turned its request away, so a retry of one of the few early requests may have another copy loaded.

--- a/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/AdapterSlot.kt
@@ -26,6 +26,9 @@
     /** When the slot was last reserved. */
     var reservedAt: Duration = lastUsedAt
 
+    /** The accepted load from the weight store; null once a request has used the adapter, and for other loads. */
+    var unconfirmedLoad: AdapterLoadTime.Started? = null
+
     /** Requests in flight that use the adapter. */
     var inFlight = 0
 
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -19,6 +19,7 @@
     /** Services whose requests wait in an [AdmissionQueue]; kept because each decision asks for every server. */
     private var queuedServices: Set<String> = emptySet()
     val outputEstimate = OutputEstimate()
+    val adapterLoadTime = AdapterLoadTime(options.adapterLoad)
     private val rateLimiter = ServerRateLimiter(reportedLimits)
     var configuration = ServingConfiguration(-1)
         set(value) {
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -156,7 +156,7 @@
     fun loadTime(
         server: DispatchServer,
         adapter: String,
-    ): Duration = if (server.isWarm(adapter)) options.warmAdapterLoad else options.adapterLoad
+    ): Duration = if (server.isWarm(adapter)) options.warmAdapterLoad else fleet.adapterLoadTime.estimate
 
     /** Time until [adapter] can be used on [server]. */
     fun remainingLoad(
@@ -165,7 +165,7 @@
         now: Duration,
     ): Duration {
         val slot = server.adapterSlots.getValue(adapter)
-        return if (slot.state == State.RESERVED) options.adapterLoad else (slot.readyAt - now).coerceAtLeast(Duration.ZERO)
+        return if (slot.state == State.RESERVED) fleet.adapterLoadTime.estimate else (slot.readyAt - now).coerceAtLeast(Duration.ZERO)
     }
 
     /** Reserves a slot on [server] for [adapter] and returns the order to load it. */
@@ -215,12 +215,14 @@
         val server = fleet[order.server] ?: return
         val engineCount = fleet.servers.count { fleet.engineOf(it) != null }
         val slowdown = maxOf(1.0, (inTransit(now) + 1.0) / concurrentLoads(engineCount))
-        val time = if (server.isWarm(order.adapter)) options.warmAdapterLoad else options.adapterLoad * slowdown
+        val isWarm = server.isWarm(order.adapter)
+        val time = if (isWarm) options.warmAdapterLoad else fleet.adapterLoadTime.estimate * slowdown
         server.ordersAccepted = orders
         val slot = server.adapterSlots.getOrPut(order.adapter) { AdapterSlot(order.adapter, State.LOADED, null, now, now) }
         slot.state = State.LOADED
         slot.version = order.version
         slot.readyAt = now + time + options.loadMargin
+        slot.unconfirmedLoad = if (isWarm) null else AdapterLoadTime.Started(now, slowdown)
     }
 
     fun recordFailed(
--- a/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/RequestTracker.kt
@@ -126,6 +126,7 @@
                     server.promptStartedAt = now
                 }
                 markPromptProcessed(tracked)
+                confirmLoad(tracked)
             }
 
             RequestStep.ENDED -> {
@@ -138,11 +139,32 @@
                 remove(key, tracked)
                 limits.refund(tracked.workspace, tracked.charge)
                 if (event.step == RequestStep.UNREACHABLE) server?.avoidedUntil = now + options.unreachablePause
-                if (event.step == RequestStep.NOT_HELD) server?.ordersAccepted = null
+                // An engine that is still loading the adapter need not be asked what it holds.
+                if (event.step == RequestStep.NOT_HELD && !awaitLoad(tracked, now)) server?.ordersAccepted = null
             }
         }
     }
 
+    private fun confirmLoad(tracked: TrackedRequest) {
+        val slot = tracked.slot ?: return
+        if (slot.unconfirmedLoad == null) return
+        slot.unconfirmedLoad = null
+        fleet.adapterLoadTime.recordComplete()
+    }
+
+    /** Delays further requests for the adapter of [tracked] if its load was accepted recently and has not ended; returns false if not. */
+    private fun awaitLoad(
+        tracked: TrackedRequest,
+        now: Duration,
+    ): Boolean {
+        val slot = tracked.slot?.takeIf { tracked.countedBy?.adapterSlots?.get(it.adapter) === it } ?: return false
+        val load = slot.unconfirmedLoad?.takeIf { now - it.at <= AdapterLoadTime.MAX_ESTIMATE * it.slowdown } ?: return false
+        fleet.adapterLoadTime.recordIncomplete(load, tracked.sentAt)
+        val expectedEnd = load.at + fleet.adapterLoadTime.estimate * load.slowdown
+        slot.readyAt = maxOf(slot.readyAt, maxOf(expectedEnd, now) + options.loadMargin)
+        return true
+    }
+
     private fun observe(
         server: DispatchServer,
         tracked: TrackedRequest,
