--- a/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LeaderDispatch.kt
@@ -523,7 +523,7 @@
          * More exchanges at once would not end sooner, since they share the processor of this instance, but each would take longer than the
          * client waits for an engine.
          */
-        private const val CONCURRENT_QUERIES = 8
+        private const val CONCURRENT_QUERIES = 16
         private const val CONCURRENT_ORDERS = 16
 
         /** Bounds the wait for the queue in case its passes fail; shorter than the time that entry instances wait for the answer. */
