--- a/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AdmissionClient.kt
@@ -148,8 +148,8 @@
 
     private companion object {
         /**
-         * The leader holds a request for up to 100 ms while it waits for a free place, and for the time that engine orders take.
-         * A leader that takes longer than this is partitioned or frozen.
+         * The leader holds a request for up to 250 ms while it waits for a free place or for engine orders. A leader that takes longer than
+         * this is late with the request; it is taken for partitioned or frozen only if it answers nothing else meanwhile.
          */
         val ANSWER_TIMEOUT = 450.milliseconds
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/DispatchWarmUp.kt
@@ -140,7 +140,7 @@
     private companion object {
         const val ENTRY = "warm-up"
 
-        /** Enough for the runtime to compile the code; it does so after about 200 calls. */
+        /** Enough for the runtime to compile the code with its default thresholds, about 200 calls. */
         const val REQUESTS = 1_500
         const val IN_FLIGHT = 200
         const val ADAPTERS = 300
--- a/gateway/src/main/kotlin/anvilslip/gateway/EngineOrderWarmUp.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/EngineOrderWarmUp.kt
@@ -61,7 +61,7 @@
         val ACCEPTED = setOf(OrderReply.TAKEN, OrderReply.HOLDS)
         val TIMEOUT = 500.milliseconds
 
-        /** The runtime compiles code after about 200 calls. */
+        /** Enough for the runtime to compile the code with its default thresholds, about 200 calls. */
         const val EXCHANGES = 320
         const val QUERY_EVERY = 4
         const val BATCH = 4
