--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -77,6 +77,7 @@
     )
 
     private val log = EventLogger("replica")
+    private val elections = ElectionLog(log)
     private val inputs = SizedQueue<Input>(QUEUE_LENGTH, QUEUE_BYTES) { it.contentBytes }
     private val pendingProposals = HashMap<Long, PendingProposal>()
     private lateinit var core: ReplicaCore
@@ -245,6 +246,7 @@
     }
 
     private fun execute(output: ReplicaOutput) {
+        output.elections.forEach(elections::record)
         if (output.needsSync) storage.store(output)
         for (outgoing in output.messages) transport.send(outgoing.to, outgoing.message)
         if (output.applied.isNotEmpty()) publishView()
@@ -282,7 +284,12 @@
                 core.acknowledgedBy,
             )
         val leader = view.leader
-        if (leader != null && (leader != before.leader || view.term != before.term)) onLeaderChange(leader, view.term)
+        if (leader != null && (leader != before.leader || view.term != before.term)) announceLeader(leader)
+    }
+
+    private fun announceLeader(leader: ReplicaId) {
+        log.info("leader_known", "leader" to leader, "term" to view.term)
+        onLeaderChange(leader, view.term)
     }
 
     private fun announceState() {
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -157,6 +157,10 @@
         output = output.copy(messages = output.messages + ReplicaOutput.Outgoing(to, message))
     }
 
+    private fun record(event: ElectionEvent) {
+        output = output.copy(elections = output.elections + event)
+    }
+
     private fun setVote(next: Vote) {
         if (next == vote) return
         check(next.term >= vote.term) { "the term must not decrease" }
@@ -193,6 +197,7 @@
         preVoting = true
         votes.clear()
         votes += id
+        record(ElectionEvent.PreVoteStarted(term + 1))
         if (isQuorum(votes)) startElection(now) else requestVotes(term + 1, preVote = true)
     }
 
@@ -204,6 +209,7 @@
         votes.clear()
         votes += id
         electionTimer.restart(now)
+        record(ElectionEvent.ElectionStarted(term))
         if (isQuorum(votes)) becomeLeader(now) else requestVotes(term, preVote = false)
     }
 
@@ -268,23 +274,37 @@
         now: Duration,
     ) {
         if (role == ReplicaRole.LEADER && from !in voters) onJoin(from, now)
-        val leaderIsAlive = now - lastLeaderContact < options.electionTimeout || holdsLease(now)
-        val upToDate = LogPosition(request.lastTerm, request.lastIndex) >= LogPosition(log.lastTerm, log.lastIndex)
-        val mayVote = !isUninitialized && !leaderIsAlive && upToDate && request.term >= term
-        if (request.preVote) {
-            send(from, ReplicaMessage.VoteReply(term, mayVote && request.term > term, preVote = true))
-            return
-        }
-        if (!leaderIsAlive && request.term > term) stepDown(request.term, null)
-        val voteAvailable = vote.candidate == null || vote.candidate == from
-        val granted = mayVote && request.term == term && role == ReplicaRole.FOLLOWER && voteAvailable
-        if (granted) {
+        if (!request.preVote && !mayHaveLeader(now) && request.term > term) stepDown(request.term, null)
+        val refusal = refusalOf(from, request, now)
+        if (refusal != null) {
+            record(ElectionEvent.VoteRefused(from, request.term, request.preVote, refusal))
+        } else if (!request.preVote) {
             setVote(Vote(term, from))
             electionTimer.restart(now)
         }
-        send(from, ReplicaMessage.VoteReply(term, granted, preVote = false))
+        send(from, ReplicaMessage.VoteReply(term, granted = refusal == null, request.preVote))
+    }
+
+    /** Returns why this replica refuses to vote for [candidate], or null if it grants its vote. */
+    private fun refusalOf(
+        candidate: ReplicaId,
+        request: ReplicaMessage.VoteRequest,
+        now: Duration,
+    ): VoteRefusal? {
+        val hasVoted = role != ReplicaRole.FOLLOWER || (vote.candidate ?: candidate) != candidate
+        return when {
+            isUninitialized -> VoteRefusal.UNINITIALIZED
+            mayHaveLeader(now) -> VoteRefusal.LEADER_MAY_BE_ALIVE
+            LogPosition(request.lastTerm, request.lastIndex) < LogPosition(log.lastTerm, log.lastIndex) -> VoteRefusal.LOG_BEHIND
+            request.term < term || (request.preVote && request.term == term) -> VoteRefusal.OLD_TERM
+            !request.preVote && hasVoted -> VoteRefusal.HAS_VOTED
+            else -> null
+        }
     }
 
+    /** True while a leader that this replica has heard may hold its lease, or while this replica holds one. */
+    private fun mayHaveLeader(now: Duration): Boolean = now - lastLeaderContact < options.electionTimeout || holdsLease(now)
+
     private fun onVoteReply(
         from: ReplicaId,
         reply: ReplicaMessage.VoteReply,
--- a/state/src/main/kotlin/anvilslip/state/ReplicaOutput.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaOutput.kt
@@ -10,6 +10,7 @@
  * @property vote term and vote to store
  * @property messages messages to send
  * @property applied entries that were applied to the replicated state
+ * @property elections what happened in elections, for the log
  */
 public data class ReplicaOutput(
     val install: Snapshot? = null,
@@ -18,6 +19,7 @@
     val vote: Vote? = null,
     val messages: List<Outgoing> = emptyList(),
     val applied: List<Applied> = emptyList(),
+    val elections: List<ElectionEvent> = emptyList(),
 ) {
     /** A message to another replica. */
     public data class Outgoing(
