--- a/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
+++ b/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
@@ -27,6 +27,9 @@
         val entries = ArrayList<LogEntry>()
         var core: ReplicaCore? = null
         var pausedUntil = Duration.ZERO
+
+        /** End of the handling of the messages that have arrived. */
+        var busyUntil = Duration.ZERO
     }
 
     private class MessageInFlight(
@@ -50,6 +53,12 @@
     /** Probability that a message arrives up to [MAX_LATE_MILLIS] late, after ones that were sent later. */
     var lateRate = 0.0
 
+    /** Time that a host needs for each message that it handles. */
+    var handlingTime = Duration.ZERO
+
+    /** Times from which connections exist; what is sent earlier waits, as in the queue of a connection. */
+    val connectedFrom = HashMap<Pair<String, String>, Duration>()
+
     /** True if a crash during a sync may leave a part of what was being written. */
     var tearsWrites = false
     private var syncsUntilPowerLoss: Int? = null
@@ -197,6 +206,11 @@
                 continue
             }
             if (inFlight.to.storage.isNotEmpty() && inFlight.to != id(host)) continue
+            if (now < host.busyUntil) {
+                messagesInFlight += MessageInFlight(inFlight.to, inFlight.from, inFlight.message, host.busyUntil)
+                continue
+            }
+            host.busyUntil = maxOf(now - TICK, host.busyUntil) + handlingTime
             execute(host, core.receive(inFlight.from, inFlight.message, localTime(host)))
         }
     }
@@ -281,7 +295,8 @@
         repeat(copies) {
             val isLate = lateRate > 0 && random.nextDouble() < lateRate
             val delay = random.nextInt(1, if (isLate) MAX_LATE_MILLIS else MAX_DELAY_MILLIS).milliseconds
-            messagesInFlight += MessageInFlight(outgoing.to, id(host), outgoing.message, now + delay)
+            val sentAt = maxOf(now, connectedFrom[host.name to outgoing.to.instance] ?: now)
+            messagesInFlight += MessageInFlight(outgoing.to, id(host), outgoing.message, sentAt + delay)
         }
     }
 
