Count the time in which a restarted replica withholds its vote from the start of its process

Cause: a replica refuses votes for an election timeout (600 ms), since a leader that it acknowledged before it ended may hold a lease. The time was counted from the opening of the replica. But nothing can have been acknowledged since the process started, 0.5 to 1 s before. Replicas that open at different times refused each other's first pre-votes, and the next came 0.6 to 1.2 s later. Fix: the time counts from the start of the process, or from the failure of the storage when the replica is reopened. The lease ends earlier than an election timeout after the last acknowledgement in either case. The random runs of replicas, which check that at most one replica has a lease, start each replica as if its process had started right after the last one ended.

--- a/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Instance.kt
@@ -45,6 +45,8 @@
 public class Instance(
     private val settings: Settings,
     private val clock: Clock = SystemClock,
+    /** Monotonic time at which the process started. */
+    private val startedAt: Duration = clock.elapsed(),
 ) {
     private val kernel = Kernel()
     private val incarnation = "${settings.instance}-${UUID.randomUUID().toString().take(INCARNATION_SUFFIX_LENGTH)}"
@@ -140,7 +142,7 @@
         val storage = RecoveringStorage(dataFolder, ::recordReplicaDamage) { metrics.syncs.inc() }
         lateinit var replica: Replica
         val transport = ReplicaTransport { to, message -> network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message)) }
-        replica = Replica(settings.instance, settings.replicas, storage, transport, clock)
+        replica = Replica(settings.instance, settings.replicas, storage, transport, clock, startedAt = startedAt)
         return replica
     }
 
--- a/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
@@ -2,6 +2,7 @@
 
 import anvilslip.kernel.FatalErrorHandler
 import anvilslip.kernel.Logs
+import anvilslip.kernel.SystemClock
 import anvilslip.settings.Settings
 import anvilslip.settings.SettingsReader
 import kotlinx.cli.ArgParser
@@ -11,18 +12,20 @@
 import kotlinx.coroutines.runBlocking
 import kotlin.io.path.Path
 import kotlin.system.exitProcess
+import kotlin.time.Duration
 
 private const val EXIT_INVALID_SETTINGS = 2
 private const val EXIT_START_FAILED = 3
 
 /** Starts an instance or validates its settings. Exits with 2 if the settings are invalid and with 3 if the instance fails to start. */
 public fun main(args: Array<String>) {
+    val startedAt = SystemClock.elapsed()
     val parser = ArgParser("anvilslipd")
     val settingsFile by parser.option(ArgType.String, "settings", "s", "Settings file, in JSON with comments").required()
     val validateOnly by parser.option(ArgType.Boolean, "check-settings", description = "Validate the settings and exit").default(false)
     parser.parse(args)
     val settings = readSettings(settingsFile)
-    if (validateOnly) println("settings of '${settings.instance}' are valid") else runInstance(settings)
+    if (validateOnly) println("settings of '${settings.instance}' are valid") else runInstance(settings, startedAt)
 }
 
 private fun readSettings(file: String): Settings =
@@ -34,9 +37,12 @@
         { it },
     )
 
-private fun runInstance(settings: Settings) {
+private fun runInstance(
+    settings: Settings,
+    startedAt: Duration,
+) {
     Thread.setDefaultUncaughtExceptionHandler(FatalErrorHandler())
-    val instance = Instance(settings)
+    val instance = Instance(settings, SystemClock, startedAt)
     try {
         runBlocking { instance.start() }
     } catch (e: Throwable) {
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -39,6 +39,8 @@
     private val settings: GatewaySettings,
     private val dialects: GatewayDialects,
     private val clock: Clock = SystemClock,
+    /** Monotonic time at which the process started. */
+    private val startedAt: Duration = clock.elapsed(),
 ) {
     private val log = EventLogger("gateway")
     private val kernel = Kernel()
@@ -255,6 +257,7 @@
                 clock = clock,
                 options = replicaOptions(voterTarget = settings.toleratedLosses * 2 + 1),
                 mayBootstrap = settings.mayFound,
+                startedAt = startedAt,
                 onStateChange = { state ->
                     // Before the document, with which entry instances that have just started become ready.
                     restoreQuarantines(state)
--- a/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
+++ b/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
@@ -4,25 +4,26 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Decides when a replica that hears no leader stands for election. Timeouts are random, so that replicas rarely do so at once. */
+/**
+ * Decides when a replica that hears no leader stands for election. Timeouts are random, so that replicas rarely do so at once.
+ *
+ * @param firstElectionFrom time from which the first election may take place, because no leader that was elected earlier can hold a lease
+ */
 internal class ElectionTimer(
-    private val timeout: Duration,
+    options: ReplicaOptions,
     private val random: Random,
-    now: Duration,
+    firstElectionFrom: Duration,
 ) {
-    /**
-     * The first timeout after a start is at least [timeout], since a leader elected earlier may still hold a lease, and shorter than
-     * later ones, because after a common start all replicas have waited equally long.
-     */
-    private var deadline = now + timeout + (randomTimeout() - timeout) / 2
+    private val timeout = options.electionTimeout
+    private var deadline = firstElectionFrom + upTo(timeout) / 2
 
     /** Starts a new timeout at [now]. */
     fun restart(now: Duration) {
-        deadline = now + randomTimeout()
+        deadline = now + timeout + upTo(timeout)
     }
 
     /** True if the timeout has passed. */
     fun isDue(now: Duration): Boolean = now >= deadline
 
-    private fun randomTimeout(): Duration = timeout + random.nextInt(timeout.inWholeMilliseconds.toInt()).milliseconds
+    private fun upTo(max: Duration): Duration = random.nextInt(max.inWholeMilliseconds.toInt()).milliseconds
 }
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -36,6 +36,8 @@
     private val options: ReplicaOptions = ReplicaOptions(),
     private val random: Random = Random.Default,
     private val mayBootstrap: Boolean = true,
+    /** Monotonic time of the start of the process, before which it cannot have acknowledged anything. */
+    startedAt: Duration = clock.elapsed(),
     /**
      * Called on the replica's thread with each new replicated state, from the first one after a start that is known to include everything
      * that was committed before ([ReplicaCore.isCurrent]).
@@ -82,6 +84,9 @@
     private val pendingProposals = HashMap<Long, PendingProposal>()
     private lateinit var core: ReplicaCore
 
+    /** Time since which this replica has acknowledged nothing, if its storage is not open. */
+    private var silentSince = startedAt
+
     /** The state with which [onStateChange] was last called. */
     private var announcedState: ReplicatedState? = null
     private lateinit var scope: CoroutineScope
@@ -152,6 +157,7 @@
      */
     private fun suspendAfterFailure(reason: Throwable) {
         log.error("replica_suspended", "error" to reason)
+        silentSince = clock.elapsed()
         view = ReplicaView(core.id)
         pendingProposals.values.forEach { it.result.complete(ProposeError.Unknown.left()) }
         pendingProposals.clear()
@@ -195,7 +201,8 @@
     private fun open() {
         val recovered = storage.recover()
         announcedState = null
-        core = ReplicaCore(ReplicaId(instance, recovered.identity), recovered, members, options, random, clock.elapsed(), mayBootstrap)
+        val id = ReplicaId(instance, recovered.identity)
+        core = ReplicaCore(id, recovered, members, options, random, clock.elapsed(), silentSince, mayBootstrap)
         publishView()
         log.info(
             "replica_started",
@@ -204,6 +211,7 @@
             "term" to core.term,
             "document" to core.state.document?.version,
             "uninitialized" to core.isUninitialized,
+            "silent_ms" to (clock.elapsed() - silentSince).inWholeMilliseconds,
         )
     }
 
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -10,7 +10,9 @@
  * Deterministic: it uses no threads, network, files or clocks. Each call returns the effects that the caller must execute.
  *
  * @param members names of the instances that may run a replica; with [ReplicaOptions.voterTarget], those that start the log
- * @param now monotonic time at start; the replica grants no vote until an election timeout has passed since then
+ * @param now monotonic time at start
+ * @param silentSince monotonic time since which the replica has acknowledged nothing, for example that of the start of its process; it
+ *   grants no vote until an election timeout has passed since then
  * @param mayBootstrap false if a log exists already, so that this replica may only join it
  */
 public class ReplicaCore(
@@ -20,6 +22,7 @@
     private val options: ReplicaOptions = ReplicaOptions(),
     random: Random,
     now: Duration,
+    silentSince: Duration = now,
     private val mayBootstrap: Boolean = true,
 ) {
     private val log = ReplicaLog(recovered)
@@ -46,8 +49,10 @@
         private set
 
     private var voters: Set<ReplicaId> = log.latestVoters()
-    private var lastLeaderContact = now
-    private val electionTimer = ElectionTimer(options.electionTimeout, random, now)
+
+    /** A leader that this replica acknowledged until it became silent may have a lease for as long as one that it has just heard. */
+    private var lastLeaderContact = silentSince
+    private val electionTimer = ElectionTimer(options, random, firstElectionFrom = maxOf(now, silentSince + options.electionTimeout))
     private var preVoting = false
     private val votes = mutableSetOf<ReplicaId>()
     private val followers = Followers(id, options)
--- a/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
+++ b/state/src/test/kotlin/anvilslip/state/SimulatedReplicas.kt
@@ -28,6 +28,9 @@
         var core: ReplicaCore? = null
         var pausedUntil = Duration.ZERO
 
+        /** When the host lost power or its process ended, if it did. */
+        var downSince: Duration? = null
+
         /** End of the handling of the messages that have arrived. */
         var busyUntil = Duration.ZERO
     }
@@ -66,7 +69,11 @@
         private set
     val acknowledgedCount get() = acknowledged.size
 
-    fun start(host: Host) {
+    /** Starts the replica of [host], whose process was started at [processStartedAt], by default right after the last one ended. */
+    fun start(
+        host: Host,
+        processStartedAt: Duration = host.downSince ?: now,
+    ) {
         val recovered = RecoveredData("id${host.identity}", host.snapshot, host.entries.toList(), host.vote)
         host.core =
             ReplicaCore(
@@ -76,6 +83,7 @@
                 options,
                 Random(random.nextLong()),
                 localTime(host),
+                silentSince = processStartedAt * host.drift,
                 mayBootstrap = host.identity == 0,
             )
     }
@@ -84,7 +92,7 @@
 
     fun crash(host: Host) {
         recordEvent("crash ${host.name}")
-        host.core = null
+        stop(host)
     }
 
     /** Takes the power from all hosts during one of the next [syncs] syncs, before what is written is synced or right after it. */
@@ -96,12 +104,17 @@
     fun losePower() {
         recordEvent("all hosts lose power")
         syncsUntilPowerLoss = null
-        hosts.forEach { it.core = null }
+        hosts.forEach(::stop)
+    }
+
+    private fun stop(host: Host) {
+        if (host.core != null) host.downSince = now
+        host.core = null
     }
 
     fun loseDisk(host: Host) {
         recordEvent("lose disk of ${host.name}")
-        host.core = null
+        stop(host)
         host.identity++
         host.vote = Vote()
         host.snapshot = null
--- a/state/src/test/kotlin/anvilslip/state/SlowStartRun.kt
+++ b/state/src/test/kotlin/anvilslip/state/SlowStartRun.kt
@@ -30,7 +30,7 @@
     }
 
     fun run(): Stages {
-        replicas.hosts.forEach(replicas::start)
+        replicas.hosts.forEach { replicas.start(it) }
         awaitAll { replicas.fullyReplicated }
         val leader = replicas.leaseHolders.single()
         repeat(CHANGES) { replicas.propose(leader) }
@@ -53,7 +53,7 @@
         var elected: Duration? = null
         while (true) {
             for ((host, at) in startAt) {
-                if (host.core == null && replicas.now >= at) replicas.start(host)
+                if (host.core == null && replicas.now >= at) replicas.start(host, processStartedAt = back + (at - back) / 2)
             }
             replicas.run(STEP)
             if (opened == null && replicas.hosts.all { it.core != null }) opened = replicas.now - back
