Tell followers at once that the first entry of a term is committed

A follower hands out no configuration before it knows that an entry of the leader's term is committed, and heard of that with the next heartbeat, up to 150 ms later. The leader now sends a round when that entry is committed.

--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -546,8 +546,10 @@
     private fun advanceCommit(now: Duration) {
         val majorityIndex = followers.majorityIndex(voters, log.lastIndex)
         if (majorityIndex > commitIndex && log.termAt(majorityIndex) == term) {
+            val isFirstOfTerm = log.termAt(commitIndex) != term
             commitUpTo(majorityIndex)
             recordIfCurrent()
+            if (isFirstOfTerm) broadcast(now)
             if (id !in voters) stepDown(term, null) else removeFormerVoters()
             if (role == ReplicaRole.LEADER) changeVotersIfNeeded(now)
         }
