Keep pre-votes across repeated requests, and ask less often the longer there is no leader

A pre-vote that was granted for a term now counts until this replica hears a leader or gives way to another candidate, and the pause between two requests doubles up to the election timeout.

--- a/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
+++ b/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
@@ -18,19 +18,24 @@
     private val heartbeat = options.heartbeat
     private var deadline = firstElectionFrom
 
+    /** Pause before the next pre-vote; doubles with each, since messages that are slow would otherwise pile up. */
+    private var pause = heartbeat
+
     /** Starts a new timeout at [now]. */
     fun restart(now: Duration) {
+        pause = heartbeat
         deadline = now + timeout + upTo(timeout)
     }
 
     /** Waits for the outcome of a pre-vote that was asked for at [now]; it changes nothing, so that it may be repeated soon. */
     fun awaitPreVote(now: Duration) {
-        deadline = now + heartbeat + upTo(heartbeat)
+        deadline = now + pause + upTo(pause)
+        pause = minOf(pause * 2, timeout)
     }
 
     /** Waits at least as long as [awaitPreVote] for the election of another replica. */
     fun yieldToPreVote(now: Duration) {
-        deadline = maxOf(deadline, now + heartbeat + upTo(heartbeat))
+        deadline = maxOf(deadline, now + pause + upTo(pause))
     }
 
     /** True if the timeout has passed. */
--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -204,12 +204,13 @@
 
     private fun isQuorum(replicas: Collection<ReplicaId>): Boolean = replicas.count { it in voters } * 2 > voters.size
 
+    /** Asks for pre-votes, or asks those again that have not granted theirs. */
     private fun startPreVote(now: Duration) {
         electionTimer.awaitPreVote(now)
         role = ReplicaRole.FOLLOWER
         leader = null
+        if (!preVoting) votes.clear()
         preVoting = true
-        votes.clear()
         votes += id
         if (!prefersOther(id, now)) preVoteGrant = PreVoteGrant(id, now)
         record(ElectionEvent.PreVoteStarted(term + 1))
