Connect the control instances to each other before everyone else after a start

Cause: when the power returns, every entry instance connects to every control instance and polls it. On code that has just been loaded that is over a second of processor time, and links between control instances, which are only made by the first message and after that accepted in the same queue, came after it. Fix: a replica connects to all voters when it opens.

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -18,10 +18,13 @@
 import anvilslip.settings.GatewaySettings
 import anvilslip.state.RecoveringStorage
 import anvilslip.state.Replica
+import anvilslip.state.ReplicaId
+import anvilslip.state.ReplicaMessage
 import anvilslip.state.ReplicaOptions
 import anvilslip.state.ReplicaTransport
 import anvilslip.state.ReplicatedState
 import anvilslip.wire.PeerAddress
+import anvilslip.wire.PeerAdmission
 import anvilslip.wire.PeerHandler
 import anvilslip.wire.PeerMessage
 import anvilslip.wire.PeerNetwork
@@ -46,6 +49,9 @@
     private val kernel = Kernel()
     private val incarnation = UUID.randomUUID().toString().take(INCARNATION_LENGTH)
     private val metrics = kernel.install(Metrics())
+
+    /** Whether connections of other instances are served at once; set before the network is started. */
+    private var peerAdmission = PeerAdmission {}
     private val network = kernel.install(network())
     private val requestMetrics = GatewayMetrics(metrics)
     private val clusterView =
@@ -159,6 +165,7 @@
             hybridClock = HybridClock(clock),
             options = PeerOptions(silenceTimeout = PEER_SILENCE),
             acceptsPeer = { true },
+            admission = { peerAdmission.await(it) },
             onSent = ::countSent,
             onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
@@ -180,6 +187,7 @@
     private fun installControl(): PeerHandler {
         lateinit var quarantineStore: QuarantineStore
         val replica = kernel.install(replica { quarantineStore.restore(it) })
+        peerAdmission = RecoveryAdmission(replica, settings.seeds, clock)
         quarantineStore =
             QuarantineStore(clusterView.suspects, { replica.isLeading }, { replica.view.state }, { replica.propose(it).isRight() })
         kernel.install(quarantineStore)
@@ -244,9 +252,16 @@
     private fun replica(restoreQuarantines: (ReplicatedState) -> Unit): Replica {
         lateinit var replica: Replica
         val transport =
-            ReplicaTransport { to, message ->
-                network.connectTo(to.instance, PeerAddress(to.instance, settings.peerPort))
-                network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message))
+            object : ReplicaTransport {
+                override fun connect(to: ReplicaId) = network.connectTo(to.instance, PeerAddress(to.instance, settings.peerPort))
+
+                override fun send(
+                    to: ReplicaId,
+                    message: ReplicaMessage,
+                ) {
+                    connect(to)
+                    network.send(to.instance, PeerMessage.Replica(replica.view.id, to, message))
+                }
             }
         replica =
             Replica(
--- a/state/src/main/kotlin/anvilslip/state/Replica.kt
+++ b/state/src/main/kotlin/anvilslip/state/Replica.kt
@@ -96,6 +96,15 @@
     public var view: ReplicaView = ReplicaView(ReplicaId(instance, ""))
         private set
 
+    private val opened = CompletableDeferred<Duration>()
+    private val current = CompletableDeferred<Unit>()
+
+    /** Returns the monotonic time at which this replica was opened, once it is. */
+    public suspend fun awaitOpen(): Duration = opened.await()
+
+    /** Returns once this replica is known to have all that was committed before it started ([ReplicaCore.isCurrent]). */
+    public suspend fun awaitCurrent(): Unit = current.await()
+
     /** True while this replica is the leader and holds the leader lease. */
     public val isLeading: Boolean get() = view.isLeading(clock.elapsed())
 
@@ -190,6 +199,7 @@
             true
         } catch (e: UnknownRecordException) {
             log.error("replica_suspended", "error" to e)
+            opened.complete(clock.elapsed())
             storage.close()
             false
         }
@@ -204,6 +214,8 @@
         val id = ReplicaId(instance, recovered.identity)
         core = ReplicaCore(id, recovered, members, options, random, clock.elapsed(), silentSince, mayBootstrap)
         publishView()
+        for (voter in core.currentVoters - id) transport.connect(voter)
+        opened.complete(clock.elapsed())
         log.info(
             "replica_started",
             "id" to core.id,
@@ -303,13 +315,15 @@
     private fun announceState() {
         val state = core.state
         if (state === announcedState) return
-        if (announcedState == null) logCurrent(state)
+        if (announcedState == null) recordCurrent(state)
         announcedState = state
         onStateChange(state)
     }
 
-    private fun logCurrent(state: ReplicatedState) =
+    private fun recordCurrent(state: ReplicatedState) {
+        current.complete(Unit)
         log.info("replica_current", "index" to core.commitIndex, "term" to core.term, "document" to state.document?.version)
+    }
 
     private fun notLeader() = ProposeError.NotLeader(view.leader?.instance)
 
--- a/state/src/main/kotlin/anvilslip/state/ReplicaTransport.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaTransport.kt
@@ -10,4 +10,7 @@
         to: ReplicaId,
         message: ReplicaMessage,
     )
+
+    /** Connects to [to] ahead of the first message, which would otherwise wait for the connection. */
+    public fun connect(to: ReplicaId) {}
 }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerConnection.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerConnection.kt
@@ -70,11 +70,15 @@
             return PeerConnection(socket, input, output, peer)
         }
 
-        /** Runs the handshake as the accepting side: authenticates as [self] and verifies the peer, which [isAllowed] must permit. */
+        /**
+         * Runs the handshake as the accepting side: authenticates as [self] and verifies the peer, which [isAllowed] must permit. The costly
+         * part begins once [admission] permits it.
+         */
         suspend fun accept(
             socket: Socket,
             self: String,
             isAllowed: (peer: String) -> Boolean,
+            admission: PeerAdmission,
             handshake: Handshake,
         ): PeerConnection {
             val input = socket.openReadChannel()
@@ -84,6 +88,7 @@
             val peer = input.readName()
             val peerNonce = input.readByteArray(Handshake.NONCE_BYTES)
             if (!isAllowed(peer)) throw IOException("unknown peer name")
+            admission.await(peer)
             val nonce = newNonce()
             output.writeName(self)
             output.writeByteArray(nonce)
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -39,6 +39,7 @@
  *
  * @param hybridClock stamps outgoing frames and observes the stamps of incoming ones
  * @param acceptsPeer whether the named peer may connect to this instance
+ * @param admission when the connections of a peer are served
  * @param onSent called for each frame that is sent, with its size
  * @param onReceived called with the size of each frame received
  */
@@ -51,6 +52,7 @@
     private val hybridClock: HybridClock,
     private val options: PeerOptions = PeerOptions(),
     private val acceptsPeer: (peer: String) -> Boolean = { it in peers },
+    private val admission: PeerAdmission = PeerAdmission {},
     private val onSent: (peer: String, message: PeerMessage, bytes: Int) -> Unit = { _, _, _ -> },
     private val onReceived: (bytes: Int) -> Unit = {},
 ) : Service,
@@ -193,7 +195,7 @@
         try {
             val connection =
                 withTimeout(options.connectTimeout) {
-                    closingOnFailure(socket) { PeerConnection.accept(socket, self, acceptsPeer, handshake) }
+                    closingOnFailure(socket) { PeerConnection.accept(socket, self, acceptsPeer, admission, handshake) }
                 }
             serve(connection)
         } catch (e: CancellationException) {
--- a/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
@@ -6,6 +6,7 @@
 import io.kotest.core.spec.style.DescribeSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -30,6 +31,7 @@
             peers: Map<String, Int>,
             secret: String = "the shared secret",
             clock: Clock = SystemClock,
+            admission: PeerAdmission = PeerAdmission {},
         ) = PeerNetwork(
             self = self,
             listen = PeerAddress("127.0.0.1", port),
@@ -37,6 +39,8 @@
             secret = secret.toByteArray(),
             clock = clock,
             hybridClock = HybridClock(SystemClock),
+            acceptsPeer = { it in peers },
+            admission = admission,
         )
 
         suspend fun awaitConnected(
@@ -61,6 +65,24 @@
             }
         }
 
+        describe("an instance that does not admit a peer yet") {
+            it("serves another peer at once, and that one when it is admitted") {
+                val ports = List(3) { freePort() }
+                val isAdmitted = CompletableDeferred<Unit>()
+                val names = mapOf("a" to ports[0], "b" to ports[1], "c" to ports[2])
+                val a = network("a", ports[0], names - "a" - "c")
+                val c = network("c", ports[2], names - "a" - "c")
+                val b = network("b", ports[1], names - "b", admission = { if (it == "a") isAdmitted.await() })
+                val networks = listOf(a, b, c)
+                networks.forEach { it.start() }
+                awaitConnected(c, "b") shouldBe true
+                ("b" in a.connectedPeers) shouldBe false
+                isAdmitted.complete(Unit)
+                awaitConnected(a, "b") shouldBe true
+                networks.forEach { it.stop() }
+            }
+        }
+
         describe("an instance whose listening socket fails") {
             /** Listening socket whose first attempt to accept a connection fails, as it does when no file descriptor is left. */
             class FailingServerSocket(
--- a/wire/src/test/kotlin/anvilslip/wire/ScriptedPeer.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/ScriptedPeer.kt
@@ -16,7 +16,7 @@
     val address: PeerAddress get() = PeerAddress("127.0.0.1", server.port)
 
     /** Accepts the next connection and runs the handshake. */
-    suspend fun accept(): PeerConnection = PeerConnection.accept(server.accept(), "b", { true }, Handshake(secret))
+    suspend fun accept(): PeerConnection = PeerConnection.accept(server.accept(), "b", { true }, {}, Handshake(secret))
 
     override fun close() {
         server.close()
