Connect to and disconnect from a peer one after the other

Not shown to be the users' case. PeerNetworkSpec, 3,000 races: failed before (the peer's link has no job), passes now that both take one lock.

--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -79,6 +79,9 @@
     /** Peers to which this instance is currently connected. */
     public val connectedPeers: Set<String> get() = links.filterValues { it.isConnected }.keys
 
+    /** Peers whose link no job connects; always empty. */
+    internal val abandonedPeers: Set<String> get() = links.keys.filterTo(mutableSetOf()) { linkJobs[it]?.isActive != true }
+
     override suspend fun start() {
         server = bind()
         scope.launchSupervised("peer-accept") { acceptConnections(it) }
@@ -91,14 +94,19 @@
         address: PeerAddress,
     ) {
         if (peer == self || links.containsKey(peer)) return
-        val link = createLink(peer, address)
-        if (links.putIfAbsent(peer, link) == null) open(peer, link)
+        synchronized(linkJobs) {
+            if (links.containsKey(peer)) return
+            val link = createLink(peer, address)
+            links[peer] = link
+            open(peer, link)
+        }
     }
 
-    override fun disconnect(peer: String) {
-        links.remove(peer) ?: return
-        linkJobs.remove(peer)?.cancel()
-    }
+    override fun disconnect(peer: String): Unit =
+        synchronized(linkJobs) {
+            links.remove(peer)
+            linkJobs.remove(peer)?.cancel()
+        }
 
     override suspend fun stop() {
         scope.coroutineContext[Job]?.cancelAndJoin()
--- a/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
+++ b/wire/src/test/kotlin/anvilslip/wire/PeerNetworkSpec.kt
@@ -7,8 +7,11 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.net.InetSocketAddress
@@ -21,6 +24,8 @@
 import io.ktor.network.sockets.ServerSocket as ListeningSocket
 import io.ktor.network.sockets.Socket as PeerSocket
 
+private const val RACES = 3000
+
 class PeerNetworkSpec :
     DescribeSpec({
         fun freePort() = ServerSocket(0).use { it.localPort }
@@ -65,6 +70,28 @@
             }
         }
 
+        describe("a peer that is forgotten and connected to again at once, from two threads") {
+            // Guards against a link without the job that connects it, so that the peer is never reached again.
+            it("can be reached afterwards") {
+                val ports = listOf(freePort(), freePort())
+                val a = network("a", ports[0], mapOf("b" to ports[1]))
+                val b = network("b", ports[1], mapOf("a" to ports[0]))
+                a.start()
+                b.start()
+                repeat(RACES) {
+                    coroutineScope {
+                        launch(Dispatchers.Default) { a.disconnect("b") }
+                        launch(Dispatchers.Default) { a.connectTo("b", PeerAddress("127.0.0.1", ports[1])) }
+                    }
+                    a.connectTo("b", PeerAddress("127.0.0.1", ports[1]))
+                    a.abandonedPeers shouldBe emptySet()
+                }
+                awaitConnected(a, "b") shouldBe true
+                a.stop()
+                b.stop()
+            }
+        }
+
         describe("an instance that does not admit a peer yet") {
             it("serves another peer at once, and that one when it is admitted") {
                 val ports = List(3) { freePort() }
