--- a/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
+++ b/state/src/main/kotlin/anvilslip/state/ReplicaCore.kt
@@ -55,6 +55,9 @@
     private val electionTimer = ElectionTimer(options, random, firstElectionFrom = maxOf(now, silentSince + options.electionTimeout))
     private var preVoting = false
 
+    /** Since when pre-votes have been collected. Older ones do not count, since those who granted them may have a leader by now. */
+    private var preVotesFrom = now
+
     /** The last pre-vote that this replica granted, to itself or to another one. */
     private var preVoteGrant: PreVoteGrant? = null
     private val votes = mutableSetOf<ReplicaId>()
@@ -209,7 +212,10 @@
         electionTimer.awaitPreVote(now)
         role = ReplicaRole.FOLLOWER
         leader = null
-        if (!preVoting) votes.clear()
+        if (!preVoting || now - preVotesFrom >= options.electionTimeout) {
+            votes.clear()
+            preVotesFrom = now
+        }
         preVoting = true
         votes += id
         if (!prefersOther(id, now)) preVoteGrant = PreVoteGrant(id, now)
