--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -24,7 +24,6 @@
 import anvilslip.state.ReplicaTransport
 import anvilslip.state.ReplicatedState
 import anvilslip.wire.PeerAddress
-import anvilslip.wire.PeerAdmission
 import anvilslip.wire.PeerHandler
 import anvilslip.wire.PeerMessage
 import anvilslip.wire.PeerNetwork
@@ -49,9 +48,6 @@
     private val kernel = Kernel()
     private val incarnation = UUID.randomUUID().toString().take(INCARNATION_LENGTH)
     private val metrics = kernel.install(Metrics())
-
-    /** Whether connections of other instances are served at once; set before the network is started. */
-    private var peerAdmission = PeerAdmission {}
     private val network = kernel.install(network())
     private val requestMetrics = GatewayMetrics(metrics)
     private val clusterView =
@@ -165,7 +161,6 @@
             hybridClock = HybridClock(clock),
             options = PeerOptions(silenceTimeout = PEER_SILENCE),
             acceptsPeer = { true },
-            admission = { peerAdmission.await(it) },
             onSent = ::countSent,
             onReceived = { metrics.peerBytesReceived.inc(it.toDouble()) },
         )
@@ -187,7 +182,7 @@
     private fun installControl(): PeerHandler {
         lateinit var quarantineStore: QuarantineStore
         val replica = kernel.install(replica { quarantineStore.restore(it) })
-        peerAdmission = RecoveryAdmission(replica, settings.seeds, clock)
+        network.admission = RecoveryAdmission(replica, settings.seeds, clock)
         quarantineStore =
             QuarantineStore(clusterView.suspects, { replica.isLeading }, { replica.view.state }, { replica.propose(it).isRight() })
         kernel.install(quarantineStore)
--- a/gateway/src/main/kotlin/anvilslip/gateway/RecoveryAdmission.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RecoveryAdmission.kt
@@ -17,14 +17,12 @@
     private val clock: Clock,
 ) : PeerAdmission {
     override suspend fun await(peer: String) {
-        if (isControl(peer)) return
+        if (peer in seeds) return
         val openedAt = replica.awaitOpen()
-        if (isControl(peer)) return
+        if (replica.view.voters.any { it.instance == peer }) return
         withTimeoutOrNull(MAX_HOLD - (clock.elapsed() - openedAt)) { replica.awaitCurrent() }
     }
 
-    private fun isControl(peer: String): Boolean = peer in seeds || replica.view.voters.any { it.instance == peer }
-
     private companion object {
         /** Three election timeouts. Without a quorum the other instances are served all the same, since they need to know the servers. */
         val MAX_HOLD: Duration = 1800.milliseconds
--- a/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
+++ b/state/src/main/kotlin/anvilslip/state/ElectionTimer.kt
@@ -29,17 +29,19 @@
 
     /** Waits for the outcome of a pre-vote that was asked for at [now]; it changes nothing, so that it may be repeated soon. */
     fun awaitPreVote(now: Duration) {
-        deadline = now + pause + upTo(pause)
+        deadline = afterPause(now)
         pause = minOf(pause * 2, timeout)
     }
 
     /** Waits at least as long as [awaitPreVote] for the election of another replica. */
     fun yieldToPreVote(now: Duration) {
-        deadline = maxOf(deadline, now + pause + upTo(pause))
+        deadline = maxOf(deadline, afterPause(now))
     }
 
     /** True if the timeout has passed. */
     fun isDue(now: Duration): Boolean = now >= deadline
 
+    private fun afterPause(now: Duration): Duration = now + pause + upTo(pause)
+
     private fun upTo(max: Duration): Duration = random.nextInt(max.inWholeMilliseconds.toInt()).milliseconds
 }
--- a/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
+++ b/wire/src/main/kotlin/anvilslip/wire/PeerNetwork.kt
@@ -39,7 +39,6 @@
  *
  * @param hybridClock stamps outgoing frames and observes the stamps of incoming ones
  * @param acceptsPeer whether the named peer may connect to this instance
- * @param admission when the connections of a peer are served
  * @param onSent called for each frame that is sent, with its size
  * @param onReceived called with the size of each frame received
  */
@@ -52,7 +51,6 @@
     private val hybridClock: HybridClock,
     private val options: PeerOptions = PeerOptions(),
     private val acceptsPeer: (peer: String) -> Boolean = { it in peers },
-    private val admission: PeerAdmission = PeerAdmission {},
     private val onSent: (peer: String, message: PeerMessage, bytes: Int) -> Unit = { _, _, _ -> },
     private val onReceived: (bytes: Int) -> Unit = {},
 ) : Service,
@@ -76,6 +74,9 @@
     /** Handles incoming messages. Must be set before [start]. */
     public var handler: PeerHandler = PeerHandler { _, _ -> PeerMessage.Failed("not ready") }
 
+    /** Decides when the connections of a peer are served. Must be set before [start]. */
+    public var admission: PeerAdmission = PeerAdmission {}
+
     /** Peers to which this instance is currently connected. */
     public val connectedPeers: Set<String> get() = links.filterValues { it.isConnected }.keys
 
