--- a/review/stand-2/AdapterMemory.java
+++ b/review/stand-2/AdapterMemory.java
@@ -24,7 +24,7 @@
     private static final AtomicInteger OVERLOADS = new AtomicInteger();
 
     private static void startRunner(int number, int boot, Control control, Record record) throws IOException {
-        new EngineRunner("i-" + number + "-" + boot, "stitchmind", SIZES, control, record) {
+        new EngineRunner("i-" + number + "-" + boot, "stitchmind", SIZES, boot > 1, control, record) {
             @Override
             void onOverload() {
                 OVERLOADS.incrementAndGet();
--- a/review/stand-2/AdapterNames.java
+++ b/review/stand-2/AdapterNames.java
@@ -19,7 +19,7 @@
     private static volatile boolean isNamed;
 
     private static void startRunner(int number, int boot, Control control, Record record) throws IOException {
-        new EngineRunner("i-" + number + "-" + boot, "stitchmind", SIZES, control, record) {
+        new EngineRunner("i-" + number + "-" + boot, "stitchmind", SIZES, boot > 1, control, record) {
             @Override
             long newestVersion(String adapter) {
                 return isNamed && adapter.startsWith("m1/") ? 2 : 1;
--- a/review/stand-2/EngineRunner.java
+++ b/review/stand-2/EngineRunner.java
@@ -16,6 +16,7 @@
     record Sizes(double weightsMb, int modelCount, double modelMb, double adapterMb, int adapterSlots) {}
 
     private static final long ADAPTER_LOAD_MILLIS = 250;
+    private static final long MODEL_LOAD_MILLIS = 2000;
     private static final int EVENTS = 4;
 
     final Sizes sizes;
@@ -23,12 +24,15 @@
     private final Map<String, Long> readyAt = new LinkedHashMap<>();
     private final Map<String, Long> versions = new LinkedHashMap<>();
     private final Map<String, Integer> inUse = new LinkedHashMap<>();
+    /** When each model is ready; a runner that has started again is empty. */
+    private final Map<String, Long> modelReadyAt = new LinkedHashMap<>();
     private long orders;
     private long highestToken;
 
-    EngineRunner(String id, String service, Sizes sizes, Control control, Record record) throws IOException {
+    EngineRunner(String id, String service, Sizes sizes, boolean isEmpty, Control control, Record record) throws IOException {
         super(id, service, 96, 288, control, record);
         this.sizes = sizes;
+        for (int i = 0; i < sizes.modelCount && !isEmpty; i++) modelReadyAt.put("m" + i, 0L);
     }
 
     @Override
@@ -38,14 +42,23 @@
 
     /** The models with the adapters that are loaded. */
     private String models() {
+        long now = System.currentTimeMillis();
         StringBuilder list = new StringBuilder();
-        for (int i = 0; i < sizes.modelCount; i++) {
-            String adapters = adapters("m" + i + "/", false).replace("m" + i + "/", "");
-            list.append(i > 0 ? "," : "").append("{\"Name\":\"m").append(i).append("\",\"Version\":1,\"Adapters\":").append(adapters).append("}");
-        }
+        modelReadyAt.forEach((model, at) -> {
+            if (at > now) return;
+            String adapters = adapters(model + "/", false).replace(model + "/", "");
+            list.append(list.isEmpty() ? "" : ",").append("{\"Name\":\"").append(model).append("\",\"Version\":1,\"Adapters\":").append(adapters);
+            list.append("}");
+        });
         return "[" + list + "]";
     }
 
+    /** True while a model is being loaded, when no other order is taken. */
+    private boolean isBusy() {
+        long now = System.currentTimeMillis();
+        return modelReadyAt.values().stream().anyMatch(at -> at > now);
+    }
+
     /** Names and versions of the adapters whose names begin with prefix: those that are loaded, or those on their way. */
     private String adapters(String prefix, boolean isPending) {
         long now = System.currentTimeMillis();
@@ -61,7 +74,7 @@
         if (head.start().startsWith("GET /anvilslip/report")) {
             String report;
             synchronized (this) {
-                report = "{\"Stage\":\"both\",\"Models\":" + models() + ",\"Busy\":false,\"Sequence\":" + orders
+                report = "{\"Stage\":\"both\",\"Models\":" + models() + ",\"Busy\":" + isBusy() + ",\"Sequence\":" + orders
                     + ",\"Queued\":0,\"Active\":0,\"KvUsed\":0,\"KvTotal\":122465,\"Handles\":0,\"Pending\":" + adapters("", true) + "}";
             }
             answer(out, 200, "", report);
@@ -77,14 +90,17 @@
     /** Carries out an order and returns the status of the answer, or 0 if this runner has crashed. */
     private synchronized int order(String body) {
         String operation = field(body, "Operation");
-        String adapter = field(body, "Model") + "/" + field(body, "Adapter");
+        String model = field(body, "Model");
+        String adapter = model + "/" + field(body, "Adapter");
         String token = field(body, "FencingToken");
         String expected = field(body, "Expect");
         String version = field(body, "Version");
-        if (field(body, "Holder") == null || token == null || field(body, "Adapter") == null) return 400;
+        if (field(body, "Holder") == null || token == null || model == null) return 400;
         if (Long.parseLong(token) < highestToken) return 412;
         highestToken = Long.parseLong(token);
-        if (expected != null && Long.parseLong(expected) != orders) return 409;
+        if (isBusy() || expected != null && Long.parseLong(expected) != orders) return 409;
+        if (field(body, "Adapter") == null) return loadModel(operation, model);
+        if (!modelReadyAt.containsKey(model)) return 400;
         if ("unload".equals(operation)) {
             if (!readyAt.containsKey(adapter)) return 200;
             if (inUse.getOrDefault(adapter, 0) > 0) return 409;
@@ -98,7 +114,7 @@
         orders++;
         readyAt.put(adapter, System.currentTimeMillis() + ADAPTER_LOAD_MILLIS);
         versions.put(adapter, number);
-        double memory = sizes.modelCount * sizes.modelMb + readyAt.size() * sizes.adapterMb;
+        double memory = modelReadyAt.size() * sizes.modelMb + readyAt.size() * sizes.adapterMb;
         record.line("%s is ordered to load %s: %d adapters of %d, %.0f MB of %.0f", id, adapter, readyAt.size(), sizes.adapterSlots, memory,
             sizes.weightsMb);
         if (readyAt.size() <= sizes.adapterSlots && memory <= sizes.weightsMb) return 202;
@@ -108,6 +124,21 @@
         return 0;
     }
 
+    /** Starts to load a model; the system unloads none. */
+    private int loadModel(String operation, String model) {
+        if (!"load".equals(operation)) return 400;
+        if (modelReadyAt.containsKey(model)) return 200;
+        orders++;
+        modelReadyAt.put(model, System.currentTimeMillis() + MODEL_LOAD_MILLIS);
+        double memory = modelReadyAt.size() * sizes.modelMb + readyAt.size() * sizes.adapterMb;
+        record.line("%s is ordered to load %s: %.0f MB of %.0f", id, model, memory, sizes.weightsMb);
+        if (memory <= sizes.weightsMb) return 202;
+        record.line("%s crashes", id);
+        onOverload();
+        close();
+        return 0;
+    }
+
     /** The newest version of an adapter, which a load without a version fetches. */
     long newestVersion(String adapter) {
         return 1;
