Bound the memory of all answers of servers in sum

Cause: RequestSender.relayWhole collects up to 16 MiB an answer, in an array that doubles and is copied at the end; nothing bounded the sum. Ruled out as the cause of this case by the same dumps: unread bytes (0.6 to 5 MiB) and answers that wait for slow callers (none). They are bounded by the same sum all the same, as are heads, incomplete events, failures that are kept during a retry, relayed answers and what was handed to a connection and not written.

Why it works: each array of an answer is counted in AnswerBudget (32 MiB of a heap of 112) from its arrival until it was written or dropped. Without room the largest answer that is still arriving is given up, those without a stated length first; its memory is returned at once and its caller is answered 502 at once, or another server is asked. Whole answers are kept in the parts that arrived, so that an answer of 16 MiB takes 16 MiB and not up to 48.

--- a/entry/src/main/kotlin/anvilslip/entry/ServiceForwarder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/ServiceForwarder.kt
@@ -26,8 +26,10 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
 import java.util.concurrent.ConcurrentHashMap
@@ -176,6 +178,7 @@
     }
 
     /** Continues after the caller disconnects, so that the response is stored for a retry. */
+    @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun executeClaimed(
         admitted: AdmittedRequest,
         route: Route,
@@ -183,9 +186,9 @@
         key: ClaimKey,
         holder: String,
         claimedAt: Duration,
-    ): Either<ApiError, HttpResponse> =
-        backgroundScope
-            .async {
+    ): Either<ApiError, HttpResponse> {
+        val execution =
+            backgroundScope.async {
                 timeline.record(EventKind.CLAIM_TAKEN, admitted.requestId)
                 val result = sendClaimed(admitted, route, call, claimedAt)
                 val error = result.leftOrNull()
@@ -194,7 +197,23 @@
                     error.ran == Ran.NOT_RUN -> control.propose(Command.ReleaseClaim(key, holder), RELEASE_TIMEOUT)
                 }
                 result
-            }.await()
+            }
+        try {
+            return execution.await()
+        } catch (e: CancellationException) {
+            // Nobody sends the response any more.
+            execution.invokeOnCompletion {
+                if (it == null) {
+                    execution
+                        .getCompleted()
+                        .getOrNull()
+                        ?.memory
+                        ?.close()
+                }
+            }
+            throw e
+        }
+    }
 
     private suspend fun sendClaimed(
         admitted: AdmittedRequest,
@@ -231,7 +250,7 @@
         holder: String,
         response: HttpResponse,
     ) {
-        val body = response.body.takeIf { it.size <= MAX_STORED_BYTES }?.toString(Charsets.ISO_8859_1)
+        val body = if (response.size <= MAX_STORED_BYTES) response.body.toString(Charsets.ISO_8859_1) else null
         control.propose(Command.FinishClaim(key, holder, StoredAnswer(response.status, response.contentType, body)), FINISH_TIMEOUT)
     }
 
@@ -257,8 +276,10 @@
         inFlightCalls.incrementAndGet()
         timeline.record(EventKind.REQUEST_SENT, admitted.requestId, fields = mapOf("server" to server.server))
         try {
-            val response = client.exchange(server.address, call.toClientCall(admitted, atMostOnce), settings.backendSilence)
-            return HttpResponse(response.status, response.body, response.contentType).right()
+            return client.open(server.address, call.toClientCall(admitted, atMostOnce), settings.backendSilence).use {
+                val body = it.readAll(MAX_ANSWER_BYTES)
+                HttpResponse(it.status, body.parts, it.contentType, memory = body.memory).right()
+            }
         } catch (e: HttpClientException.NotSent) {
             return Failure(ApiError(ErrorCode.BACKEND_FAILED, "the server cannot be reached", Ran.NOT_RUN, NO_BACKEND_RETRY)).left()
         } catch (e: HttpClientException.IncompleteResponse) {
@@ -287,6 +308,7 @@
         public const val NAME: String = "service-calls"
         private const val MAX_ATTEMPTS = 3
         private const val MAX_STORED_BYTES = 64 * 1024
+        private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
         private val LEADER_RETRY = 500.milliseconds
         private val RUNNING_RETRY = 1.seconds
         private val NO_BACKEND_RETRY = 1.seconds
--- a/entry/src/main/kotlin/anvilslip/entry/completion/JsonBackendDialect.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/completion/JsonBackendDialect.kt
@@ -213,7 +213,7 @@
         val response = client.open(address, post(path, body), readTimeout)
         if (response.status == OK) return LineStream(response)
         try {
-            throw rejection(response.status, response.readAll(MAX_ERROR_BYTES).decodeToString())
+            throw rejection(response.status, response.readAll(MAX_ERROR_BYTES).use { it.text })
         } finally {
             response.close()
         }
@@ -262,6 +262,7 @@
                 }
             }
             if (partialLine.size() > MAX_LINE_BYTES) throw HttpClientException.IncompleteResponse("a line of the answer is too long", false)
+            response.keep(partialLine.size() + lines.sumOf { it.length + LINE_OVERHEAD_BYTES })
         }
 
         private fun decodePart(line: String): CompletionPart =
@@ -285,6 +286,9 @@
         const val MAX_BATCH = 10_000
         const val MAX_ERROR_BYTES = 64 * 1024
         const val MAX_LINE_BYTES = 1024 * 1024
+
+        /** Memory of a string beside its characters. */
+        const val LINE_OVERHEAD_BYTES = 64
         const val LINE_END = '\n'.code.toByte()
     }
 }
--- a/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ClientConnection.kt
@@ -28,6 +28,8 @@
     private val onForeignAnswer: (ForeignAnswer) -> Unit,
     /** Another handler of the same channel, before the codec. */
     private val probe: WriteProbe = WriteProbe(),
+    /** Bounds the memory of the answers. */
+    private val answers: AnswerBudget = AnswerBudget(),
     /** Called when an exchange has ended and the connection can be used again; with the time for which the server keeps it. */
     private val onIdle: (ClientConnection, serverIdleLimit: Duration?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -82,7 +84,7 @@
     ): HttpClientResponse {
         lateinit var next: HttpClientResponse
         val window = ReceiveWindow { reading -> if (response === next) setReading(reading) }
-        next = HttpClientResponse(readTimeout, window) { abandon(next) }
+        next = HttpClientResponse(readTimeout, window, answers) { abandon(next) }
         onEventLoop { begin(request, correlation, next, gate) }
         return next
     }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClient.kt
@@ -41,6 +41,8 @@
     private val onConnect: (address: String, isConnected: Boolean) -> Unit = { _, _ -> },
     /** Name in the service registry, for an instance with several clients. */
     serviceName: String = NAME,
+    /** Bounds the memory of all answers; shared by the clients of an instance. */
+    private val answers: AnswerBudget = AnswerBudget(),
 ) : Service {
     override val name: String = serviceName
     private val log = EventLogger(serviceName)
@@ -117,20 +119,31 @@
         return response
     }
 
-    /** Sends [request] and returns the complete response, whose body may have at most [maxBytes] bytes. */
+    /**
+     * Sends [request] and returns the complete response, whose body may have at most [maxBytes] bytes; it counts in the memory of answers
+     * until it is returned.
+     */
     public suspend fun exchange(
         address: String,
         request: HttpClientRequest,
         readTimeout: Duration,
         maxBytes: Int = DEFAULT_MAX_BYTES,
-    ): HttpResponse {
-        val response = open(address, request, readTimeout)
-        try {
-            return HttpResponse(response.status, response.readAll(maxBytes), response.contentType)
-        } finally {
-            response.close()
+    ): HttpResponse = exchange(address, request, readTimeout, maxBytes) { it }
+
+    /**
+     * Sends [request] and passes the complete response, whose body may have at most [maxBytes] bytes, to [use]; it counts in the memory of
+     * answers until that returns.
+     */
+    public suspend fun <T> exchange(
+        address: String,
+        request: HttpClientRequest,
+        readTimeout: Duration,
+        maxBytes: Int,
+        use: (HttpResponse) -> T,
+    ): T =
+        open(address, request, readTimeout).use { response ->
+            response.readAll(maxBytes).use { use(HttpResponse(response.status, it.parts, response.contentType)) }
         }
-    }
 
     /** Returns true if a connection to [address] can be established; closes it at once. */
     public suspend fun canConnect(address: String): Boolean =
@@ -175,7 +188,7 @@
         val probe = WriteProbe()
         var isFirst = true
         val connection =
-            ClientConnection(clock, onForeignAnswer, probe) { idle, serverIdleLimit ->
+            ClientConnection(clock, onForeignAnswer, probe, answers) { idle, serverIdleLimit ->
                 onIdle(idle, serverIdleLimit, isFirst)
                 isFirst = false
             }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpConnection.kt
@@ -326,11 +326,11 @@
     withBody: Boolean,
 ): DefaultFullHttpResponse {
     val status = HttpResponseStatus.valueOf(response.status)
-    val body = if (withBody) Unpooled.wrappedBuffer(response.body) else Unpooled.EMPTY_BUFFER
+    val body = if (withBody) Unpooled.wrappedBuffer(*response.parts.toTypedArray()) else Unpooled.EMPTY_BUFFER
     val nettyResponse = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
     response.headers.forEach { (name, value) -> nettyResponse.headers().set(name, value) }
     response.contentType?.let { nettyResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
-    nettyResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.body.size)
+    nettyResponse.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.size)
     setConnection(nettyResponse.headers(), keepAlive)
     return nettyResponse
 }
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpResponder.kt
@@ -2,7 +2,7 @@
 
 /** Sends the response to one request, either complete or streamed in parts. */
 public interface HttpResponder {
-    /** Sends a complete response. */
+    /** Sends a complete response, and closes its memory once the body was written. */
     public suspend fun respond(response: HttpResponse)
 
     /** Sends the status line and headers of a streamed response. */
@@ -12,8 +12,11 @@
         headers: Map<String, String> = emptyMap(),
     )
 
-    /** Sends a part of a streamed response; suspends while the client reads too slowly. */
-    public suspend fun sendPart(bytes: ByteArray)
+    /** Sends a part of a streamed response and closes [memory] once it was written; suspends while the client reads too slowly. */
+    public suspend fun sendPart(
+        bytes: ByteArray,
+        memory: HeldMemory? = null,
+    )
 
     /** Completes a streamed response. */
     public suspend fun endStream()
--- a/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/NettyResponder.kt
@@ -1,6 +1,7 @@
 package anvilslip.entry.http
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -34,32 +35,47 @@
     var isDone = false
         private set
 
+    /** The last write; when it has ended, so have those before. */
+    private var lastWrite: ChannelFuture? = null
+
     override suspend fun respond(response: HttpResponse) {
-        check(!streaming && !isDone) { "a response was already sent" }
+        try {
+            check(!streaming && !isDone) { "a response was already sent" }
+            writeResponse(response)
+        } finally {
+            response.memory?.let(::closeWhenWritten)
+        }
+    }
+
+    private suspend fun writeResponse(response: HttpResponse) {
         val isKeptAlive = keepAlive()
         val message = toNettyResponse(response, isKeptAlive, withBody = !isHead)
         keepsConnection = isKeptAlive
-        if (isHead || response.body.size <= PART_BYTES) {
+        if (isHead || response.size <= PART_BYTES) {
             isDone = true
             return write(message, last = true)
         }
         streaming = true
-        withTimeoutOrNull(writeTimeout) { writeInParts(message, response.body) } ?: closeSlow()
+        withTimeoutOrNull(writeTimeout) { writeInParts(message) } ?: closeSlow()
     }
 
-    /** Writes [head] and [body] in parts, since each message that is written is copied to direct memory until the caller has taken it. */
-    private suspend fun writeInParts(
-        head: DefaultFullHttpResponse,
-        body: ByteArray,
-    ) {
-        write(DefaultHttpResponse(head.protocolVersion(), head.status(), head.headers()))
-        for (start in body.indices step PART_BYTES) {
-            write(DefaultHttpContent(Unpooled.wrappedBuffer(body, start, minOf(PART_BYTES, body.size - start))))
+    /** Writes [response] in parts, since each message that is written may be copied to direct memory until the caller has taken it. */
+    private suspend fun writeInParts(response: DefaultFullHttpResponse) {
+        write(DefaultHttpResponse(response.protocolVersion(), response.status(), response.headers()))
+        val body = response.content()
+        try {
+            while (body.isReadable) write(DefaultHttpContent(body.readRetainedSlice(minOf(PART_BYTES, body.readableBytes()))))
+        } finally {
+            body.release()
         }
         isDone = true
         write(LastHttpContent.EMPTY_LAST_CONTENT, last = true)
     }
 
+    private fun closeWhenWritten(memory: HeldMemory) {
+        lastWrite?.addListener { memory.close() } ?: memory.close()
+    }
+
     override suspend fun startStream(
         status: Int,
         contentType: String,
@@ -82,9 +98,16 @@
     private fun newStreamHead(status: HttpResponseStatus): NettyHttpResponse =
         if (isHead) DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status) else DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
 
-    override suspend fun sendPart(bytes: ByteArray) {
-        check(streaming && !isDone) { "no streamed response is in progress" }
-        if (!isHead) write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    override suspend fun sendPart(
+        bytes: ByteArray,
+        memory: HeldMemory?,
+    ) {
+        try {
+            check(streaming && !isDone) { "no streamed response is in progress" }
+            if (!isHead) write(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        } finally {
+            memory?.let(::closeWhenWritten)
+        }
     }
 
     override suspend fun endStream() {
@@ -116,7 +139,7 @@
         message: Any,
         last: Boolean = false,
     ) {
-        val future = ctx.writeAndFlush(message)
+        val future = ctx.writeAndFlush(message).also { lastWrite = it }
         // After a response that could not be written, the next one would be taken for it.
         future.addListener(if (last && !keepsConnection) ChannelFutureListener.CLOSE else ChannelFutureListener.CLOSE_ON_FAILURE)
         if (ctx.channel().isWritable) return
--- a/entry/src/main/kotlin/anvilslip/entry/http/ReceiveWindow.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/ReceiveWindow.kt
@@ -1,8 +1,8 @@
 package anvilslip.entry.http
 
 /**
- * Bounds the bytes of a response that were received and not read yet: [setReading] pauses the connection while there are too many.
- * Thread-safe.
+ * Bounds the memory of the bytes of a response that were received and not read yet: [setReading] pauses the connection while they take too
+ * much. Thread-safe.
  */
 internal class ReceiveWindow(
     private val setReading: (Boolean) -> Unit,
--- a/entry/src/test/kotlin/anvilslip/entry/http/ClientConnectionSpec.kt
+++ b/entry/src/test/kotlin/anvilslip/entry/http/ClientConnectionSpec.kt
@@ -58,7 +58,7 @@
                 fixture.receiveHead("1")
                 fixture.channel.isOpen shouldBe false
                 response.awaitHead()
-                response.readAll(10).decodeToString() shouldBe "own"
+                response.readAll(10).use { it.text } shouldBe "own"
             }
 
             it("carries no further exchange after data arrived that belongs to none") {
--- a/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
@@ -21,6 +21,13 @@
         val isNotHeld: Boolean = false,
     ) : AttemptResult
 
+    /** The request may have run, but this instance could not keep its response. */
+    data class NotKept(
+        val reason: String,
+        /** True if the response of another server may be kept. */
+        val mayHelpElsewhere: Boolean,
+    ) : AttemptResult
+
     /** The request may have run, but its response was lost or truncated. */
     data class Broken(
         val reason: String,
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -49,7 +49,7 @@
     var gate: SendGate? = null
 
     /** The last failure that a server answered. It is passed on if no retry succeeds. */
-    var failure: HttpResponse? = null
+    private var failure: HttpResponse? = null
 
     /** Number of all attempts, including those that no server ran. */
     var attempts = 0
@@ -95,6 +95,15 @@
      */
     fun cancelAttempt(): Boolean = gate?.tryClose() == false || possibleRuns > 0
 
+    /** Keeps [response] in place of an earlier failure; null drops that. */
+    fun replaceFailure(response: HttpResponse?) {
+        failure?.memory?.close()
+        failure = response
+    }
+
+    /** Returns the last failure, to be sent. */
+    fun takeFailure(): HttpResponse? = failure.also { failure = null }
+
     private companion object {
         /** Client and instance count the time of a request from different moments. */
         val RESUME_MARGIN = 2.seconds
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -91,6 +91,7 @@
             val finished = withTimeoutOrNull(exchange.deadline - clock.elapsed()) { bindResumption(exchange) ?: serve(exchange) }
             outcome = finished ?: failExpired(exchange)
         } finally {
+            exchange.replaceFailure(null)
             log.recordOutcome(exchange, outcome)
         }
     }
@@ -270,12 +271,21 @@
 
             is AttemptResult.Failed -> {
                 exchange.possibleRuns++
-                exchange.failure = result.response
+                exchange.replaceFailure(result.response)
                 exchange.excludedServers += decision.server
                 if (canRunAgain(exchange) && acquireRetry(exchange)) return null
                 return fail(exchange, result.response.status, "failed_${result.response.status}", null)
             }
 
+            is AttemptResult.NotKept -> {
+                log.recordFailedAttempt("not_kept", exchange, decision, result.reason)
+                exchange.possibleRuns++
+                exchange.lastBreakAt = clock.elapsed()
+                exchange.excludedServers += decision.server
+                if (result.mayHelpElsewhere && canRunAgain(exchange) && acquireRetry(exchange)) return null
+                return fail(exchange, BAD_GATEWAY, "answer_not_kept", null)
+            }
+
             is AttemptResult.Broken -> {
                 log.recordFailedAttempt("broken", exchange, decision, result.reason)
                 exchange.possibleRuns++
@@ -392,7 +402,7 @@
     ): String {
         if (exchange.hasResponseStarted) return abortResponse(exchange, reason)
         exchange.hasResponseStarted = true
-        val failure = exchange.failure
+        val failure = exchange.takeFailure()
         exchange.responder.respond(failure ?: dialect.errorResponse(exchange.request, status, reason, retryAfter))
         return if (failure == null) reason else "answered_${failure.status}"
     }
--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.entry.http.AnswerBudget
 import anvilslip.entry.http.BodyBudget
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
@@ -60,7 +61,12 @@
             requestMetrics::recordConfigurationVersion,
         )
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
-    private val client = kernel.install(HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, ::recordConnect))
+    private val answerLog = GivenUpAnswerRecorder(requestMetrics)
+    private val answers = AnswerBudget(onGiveUp = answerLog::record)
+    private val client =
+        kernel.install(
+            HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, ::recordConnect, answers = answers),
+        )
     private val reachability = ServerReachability(clock) { clusterView.servers().size }
     private val mayDelegate = settings.delegateLoads && settings.fencingChecked && settings.toleratedLosses >= MIN_DELEGATE_LOSSES
     private val usesDelegates = settings.clients != null && mayDelegate
@@ -90,6 +96,7 @@
 
     init {
         settings.zones.forEach { requestMetrics.recordEvacuation(it, isActive = false) }
+        requestMetrics.recordAnswerBytes(answers::heldBytes)
         network.handler = if (settings.isControl) installControl() else PeerHandler { _, message -> answer(message) }
         if (settings.clients != null) installEntry(settings.clients!!)
         val address = Address(settings.host, settings.metricsPort)
@@ -350,7 +357,15 @@
         // Connections to relays tell nothing of those to servers, so they have a client of their own.
         val relayClient =
             kernel.install(
-                HttpClient(RELAY_CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, serviceName = "relay-client"),
+                HttpClient(
+                    connectTimeout = RELAY_CONNECT_TIMEOUT,
+                    threads = 1,
+                    maxIdle = MAX_IDLE,
+                    clock = clock,
+                    onForeignAnswer = foreignAnswers::record,
+                    serviceName = "relay-client",
+                    answers = answers,
+                ),
             )
         val relays = RelaySelection({ (clusterView.entryHosts - settings.host).map { "$it:$port" } }, clock)
         return RelayingTransport(direct, ServerTransport(relayClient::open), reachability, relays, token)
--- a/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/GatewayMetrics.kt
@@ -6,7 +6,7 @@
 
 /** Metrics of the requests that an entry instance forwards. */
 public class GatewayMetrics(
-    metrics: Metrics,
+    private val metrics: Metrics,
 ) {
     /** Number of requests, by kind of route and outcome. */
     public val outcomes: Counter = metrics.counter("anvilslip_forwarded_total", "Requests by kind and outcome", "kind", "outcome")
@@ -22,10 +22,18 @@
     public val foreignAnswers: Counter =
         metrics.counter("anvilslip_foreign_answers_total", "Answers that do not name the waiting request", "id", "connection")
 
+    /** Number of answers of servers that were given up because there was no memory to keep them. */
+    public val answersGivenUp: Counter =
+        metrics.counter("anvilslip_answers_given_up_total", "Answers of servers given up for lack of memory")
+
     private val evacuatedZones = metrics.gauge("anvilslip_zone_evacuated", "1 if the availability zone is under evacuation", "zone")
 
     private val configurationVersion = metrics.gauge("anvilslip_configuration_version", "Version of the configuration document in force")
 
+    /** Reports the memory that answers of servers take, read by [heldBytes]. */
+    public fun recordAnswerBytes(heldBytes: () -> Long): Unit =
+        metrics.gauge("anvilslip_answer_bytes", "Memory of the answers of servers") { heldBytes().toDouble() }
+
     /** Records that [version] of the configuration document is in force on this instance. */
     public fun recordConfigurationVersion(version: Long): Unit = configurationVersion.set(version.toDouble())
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/RelayHandler.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RelayHandler.kt
@@ -62,7 +62,10 @@
         val headers = response.headers.filterKeys { isPassedOn(it) && it != CONTENT_TYPE }
         responder.startStream(response.status, response.contentType ?: UNKNOWN_TYPE, headers)
         try {
-            while (true) responder.sendPart(response.read() ?: break)
+            while (true) {
+                val bytes = response.read() ?: break
+                responder.sendPart(bytes, response.hold(bytes.size))
+            }
         } catch (_: HttpClientException) {
             return responder.abort()
         }
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -40,7 +40,7 @@
                 progress.recordStep(attempt.number, if (isIsolated()) RequestStep.NOT_RUN else RequestStep.UNREACHABLE)
                 return AttemptResult.NotRun(e.message ?: "not sent")
             } catch (e: HttpClientException.IncompleteResponse) {
-                return AttemptResult.Broken(e.message ?: "broken")
+                return resultOf(e)
             }
         response.use {
             val notice = dialect.noticeOf(response)
@@ -95,7 +95,7 @@
         progress.recordStep(attempt.number, step)
         val reason = "${response.status}"
         try {
-            response.readAll(MAX_REFUSAL_BYTES)
+            response.discard(MAX_REFUSAL_BYTES)
         } catch (e: HttpClientException) {
             return AttemptResult.NotRun("$reason, body truncated: ${e.message}", step == RequestStep.NOT_HELD)
         }
@@ -112,16 +112,24 @@
         return try {
             if (isStream) relayStream(exchange, attempt, response) else relayWhole(exchange, response)
         } catch (e: HttpClientException) {
-            AttemptResult.Broken(e.message ?: "broken")
+            resultOf(e)
         }
     }
 
+    private fun resultOf(error: HttpClientException): AttemptResult {
+        val reason = error.message ?: "broken"
+        if (error !is HttpClientException.NotKept) return AttemptResult.Broken(reason)
+        val isLengthStated = error.reason == NotKeptReason.TOO_LARGE || error.reason == NotKeptReason.NO_ROOM
+        return AttemptResult.NotKept(reason, mayHelpElsewhere = !isLengthStated)
+    }
+
     private suspend fun relayWhole(
         exchange: Exchange,
         response: HttpClientResponse,
     ): AttemptResult {
         val body = response.readAll(MAX_BODY_BYTES)
-        val whole = HttpResponse(response.status, body, response.contentType, dialect.responseHeaders(response))
+        val headers = dialect.responseHeaders(response)
+        val whole = HttpResponse(response.status, body.parts, response.contentType, headers, body.memory)
         if (response.status >= SERVER_ERROR || exchange.hasResponseStarted) return AttemptResult.Failed(whole)
         exchange.hasResponseStarted = true
         exchange.responder.respond(whole)
@@ -141,9 +149,11 @@
         while (true) {
             val bytes = response.read() ?: break
             val events = exchange.events.append(bytes)
+            response.keep(exchange.events.partialBytes)
             if (events.isNotEmpty()) {
+                val memory = response.hold(events.size)
                 recordOrigin(exchange, attempt)
-                exchange.responder.sendPart(events)
+                exchange.responder.sendPart(events, memory)
             }
             if (exchange.events.isOverlong) return AttemptResult.Broken("an event of the stream is too long")
         }
@@ -176,3 +186,5 @@
         val READ_TIMEOUT_MARGIN = 1.seconds
     }
 }
+
+private typealias NotKeptReason = HttpClientException.NotKept.Reason
--- a/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ForwarderHarness.kt
@@ -1,5 +1,6 @@
 package anvilslip.gateway
 
+import anvilslip.entry.http.AnswerBudget
 import anvilslip.entry.http.HttpClient
 import anvilslip.entry.http.HttpServer
 import anvilslip.kernel.Clock
@@ -57,7 +58,7 @@
  * without a leader because of the limit; [localDecision] replaces the decision on every request. The servers are in [zones], if given, and
  * [onAdmitted] is called after each decision, before the request is sent. [retryReserve] is the number of retries allowed, [connectTimeout]
  * that of connections to servers; an admission takes [admissionTime] and holds the request for [holdMillis]; [demands] records all requests
- * for admission. [onConnect] is told of connections to servers, and [transport] wraps the way to them.
+ * for admission. [onConnect] is told of connections to servers, and [transport] wraps the way to them; [answers] bounds the memory of answers.
  */
 internal suspend fun withForwarder(
     servers: List<ScriptedServer>,
@@ -74,6 +75,7 @@
     onAdmitted: (ClusterView) -> Unit = {},
     onConnect: (address: String, isConnected: Boolean) -> Unit = { _, _ -> },
     transport: (ServerTransport) -> ServerTransport = { it },
+    answers: AnswerBudget = AnswerBudget(),
     action: suspend (call: (path: String) -> String, port: Int) -> Unit,
 ) {
     val clusterView = ClusterView({ configuration.right() }, SystemClock, setOf("127.0.0.1"), 1.seconds)
@@ -91,7 +93,7 @@
             HybridClock(SystemClock),
         )
     val progress = ProgressReporter("e", network, clusterView)
-    val client = HttpClient(connectTimeout = connectTimeout, threads = 1, onConnect = onConnect)
+    val client = HttpClient(connectTimeout = connectTimeout, threads = 1, onConnect = onConnect, answers = answers)
     val availability = ServerAvailability(clusterView, SystemClock)
 
     var refused = 0
--- a/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
+++ b/kernel/src/main/kotlin/anvilslip/kernel/Metrics.kt
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -78,6 +79,20 @@
             .labelNames(*labels)
             .register(registry)
 
+    /** Creates and registers a gauge without labels, whose value is read when the metrics are scraped. */
+    public fun gauge(
+        name: String,
+        help: String,
+        read: () -> Double,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(read()) }
+            .register(registry)
+    }
+
     /** Creates and registers a histogram with classic buckets. */
     public fun histogram(
         name: String,
--- a/policy/src/main/kotlin/anvilslip/policy/SseEventBuffer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/SseEventBuffer.kt
@@ -9,13 +9,16 @@
 public class SseEventBuffer(
     lastId: Long? = null,
 ) {
-    private val partial = ByteArrayOutputStream()
+    private var partial = ByteArrayOutputStream()
     private var lineIsEmpty = true
 
     /** ID of the last forwarded event, or null if there was none. */
     public var lastId: Long? = lastId
         private set
 
+    /** Memory that the incomplete event may take, in bytes; the buffer grows by doubling. */
+    public val partialBytes: Int get() = partial.size() * 2
+
     /** True while an incomplete event is buffered. */
     public val hasPartialEvent: Boolean get() = partial.size() > 0
 
@@ -39,13 +42,18 @@
 
     /** Discards the buffered incomplete event, so that the stream can be resumed from another server. */
     public fun discardPartialEvent() {
-        partial.reset()
+        clearPartial()
         lineIsEmpty = true
     }
 
+    /** A buffer that has grown large is not kept for the small events that follow. */
+    private fun clearPartial() {
+        if (partial.size() > MAX_KEPT_BYTES) partial = ByteArrayOutputStream() else partial.reset()
+    }
+
     private fun completeEvent(completed: ByteArrayOutputStream) {
         val event = partial.toByteArray()
-        partial.reset()
+        clearPartial()
         val id = idOf(event)
         val previousId = lastId
         if (id != null && previousId != null && id <= previousId) return
@@ -64,6 +72,7 @@
 
     private companion object {
         const val MAX_EVENT_BYTES = 1024 * 1024
+        const val MAX_KEPT_BYTES = 4 * 1024
         const val LF = '\n'.code.toByte()
         const val CR = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/standin/src/main/kotlin/anvilslip/standin/LoadGenerator.kt
+++ b/standin/src/main/kotlin/anvilslip/standin/LoadGenerator.kt
@@ -111,7 +111,7 @@
     }
 
     private suspend fun recordRefusal(answer: HttpClientResponse): Long? {
-        val error = Json.parseToJsonElement(answer.readAll(MAX_BYTES).decodeToString()).jsonObject["error"]?.jsonObject
+        val error = Json.parseToJsonElement(answer.readAll(MAX_BYTES).use { it.text }).jsonObject["error"]?.jsonObject
         val code = error?.get("code")?.jsonPrimitive?.content ?: "status_${answer.status}"
         val ran = error?.get("ran")?.jsonPrimitive?.content ?: "unknown"
         result.count("refused:$code:$ran")
