Send requests elsewhere after a server has answered without end, while others have room

What callers saw: each request that goes to a faulty server while it answers without end is lost if it may run once, and its 16 MiB take a second or more of the link of a small instance, on which the answers of sound servers wait.

Cause: the server was excluded for the one request alone. Now the instance avoids it for 3 s, in the request for admission; if that is refused for want of servers, the next request for admission includes it. An event of a stream that is too long counts as such an answer too.

--- a/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/AttemptResult.kt
@@ -24,8 +24,8 @@
     /** The request may have run, but this instance could not keep its response. */
     data class NotKept(
         val reason: String,
-        /** True if the response of another server may be kept. */
-        val mayHelpElsewhere: Boolean,
+        /** True if the response had no stated length and may have had no end, so that the response of another server may be kept. */
+        val isEndless: Boolean,
     ) : AttemptResult
 
     /** The request may have run, but its response was lost or truncated. */
--- a/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Exchange.kt
@@ -41,6 +41,9 @@
     val events = SseEventBuffer(request.lastEventId?.toLongOrNull())
     val excludedServers = HashSet<String>()
 
+    /** True once the request was refused while servers were avoided, so that these have to do. */
+    var acceptsAvoided = false
+
     /** Number of attempts in which a server may have run the request. */
     var possibleRuns = 0
 
--- a/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Forwarder.kt
@@ -119,12 +119,17 @@
         while (true) {
             suspects.quarantinedKey(exchange.suspectKeys)?.let { return refuseQuarantined(exchange, it) }
             val number = lastNumber.incrementAndGet()
-            val demand = demand(exchange, number)
+            val avoided = if (exchange.acceptsAvoided) emptySet() else availability.avoided(exchange.service)
+            val demand = demand(exchange, number, avoided)
             val askedAt = clock.elapsed()
             val admitted = admit(demand)
             exchange.lastTerm = admitted.term
             val decision = admitted.decision
             if (decision is DispatchDecision.Refuse) {
+                if (avoided.isNotEmpty() && decision.reason in ENDED_BY_MORE_SERVERS) {
+                    exchange.acceptsAvoided = true
+                    continue
+                }
                 if (waitBeforeReadmission(exchange, admitted.term, decision)) continue
                 return answerRefusal(exchange, decision)
             }
@@ -282,7 +287,7 @@
                 exchange.possibleRuns++
                 exchange.lastBreakAt = clock.elapsed()
                 exchange.excludedServers += decision.server
-                if (result.mayHelpElsewhere && canRunAgain(exchange) && acquireRetry(exchange)) return null
+                if (result.isEndless && canRunAgain(exchange) && acquireRetry(exchange)) return null
                 return fail(exchange, BAD_GATEWAY, "answer_not_kept", null)
             }
 
@@ -310,6 +315,7 @@
     private fun demand(
         exchange: Exchange,
         number: Long,
+        avoided: Set<String>,
     ): DispatchRequest {
         val request = exchange.request
         val now = clock.elapsed()
@@ -325,7 +331,7 @@
             model = request.model,
             adapter = request.adapter,
             promptTokens = request.promptTokens,
-            exclude = exchange.excludedServers + availability.unavailable,
+            exclude = exchange.excludedServers + availability.unavailable + avoided,
             isSuspect = suspects.isSuspect(exchange.suspectKeys),
             priority = exchange.priority,
             maxOutputTokens = request.maxOutputTokens,
@@ -429,6 +435,16 @@
     private companion object {
         /** Reasons that the election of a leader does not change. */
         val INDEPENDENT_OF_LEADER = setOf(DispatchRefusal.EVACUATED, DispatchRefusal.LIMITED, DispatchRefusal.VERSION_GONE)
+
+        /** Reasons that one more server may end. */
+        val ENDED_BY_MORE_SERVERS =
+            setOf(
+                DispatchRefusal.NO_SERVER,
+                DispatchRefusal.BUSY,
+                DispatchRefusal.LOADING,
+                DispatchRefusal.LIMITED,
+                DispatchRefusal.VERSION_GONE,
+            )
         val SUCCESS = 200..299
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestLog.kt
@@ -60,7 +60,7 @@
             "runs" to exchange.possibleRuns,
         )
 
-    /** Records an attempt that failed with [event], `not_run` or `broken`. */
+    /** Records an attempt that failed with [event], `not_run`, `not_kept` or `broken`. */
     fun recordFailedAttempt(
         event: String,
         exchange: Exchange,
--- a/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/RequestSender.kt
@@ -7,6 +7,7 @@
 import anvilslip.kernel.Clock
 import anvilslip.policy.RequestKind
 import anvilslip.policy.RequestStep
+import anvilslip.policy.ServerIncarnation
 import anvilslip.policy.StreamOrigin
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -53,11 +54,18 @@
                 ServerVerdict.NOT_RUN -> recordNotRun(exchange, attempt, RequestStep.NOT_RUN, response)
                 ServerVerdict.NOT_HELD -> recordNotRun(exchange, attempt, RequestStep.NOT_HELD, response)
                 ServerVerdict.FOREIGN -> AttemptResult.Broken("the answer was not created by the server")
-                ServerVerdict.ANSWER -> relay(exchange, attempt, response)
+                ServerVerdict.ANSWER -> relay(exchange, attempt, response).also { recordEndlessAnswer(it, incarnation) }
             }
         }
     }
 
+    private fun recordEndlessAnswer(
+        result: AttemptResult,
+        incarnation: ServerIncarnation,
+    ) {
+        if (result is AttemptResult.NotKept && result.isEndless) availability.recordEndlessAnswer(incarnation)
+    }
+
     private fun buildCall(
         exchange: Exchange,
         attempt: Attempt,
@@ -119,8 +127,11 @@
     private fun resultOf(error: HttpClientException): AttemptResult {
         val reason = error.message ?: "broken"
         if (error !is HttpClientException.NotKept) return AttemptResult.Broken(reason)
-        val isLengthStated = error.reason == NotKeptReason.TOO_LARGE || error.reason == NotKeptReason.NO_ROOM
-        return AttemptResult.NotKept(reason, mayHelpElsewhere = !isLengthStated)
+        return AttemptResult.NotKept(
+            reason,
+            isEndless =
+                error.reason == NotKeptReason.TOO_LONG || error.reason == NotKeptReason.NO_ROOM_NO_LENGTH,
+        )
     }
 
     private suspend fun relayWhole(
@@ -155,7 +166,7 @@
                 recordOrigin(exchange, attempt)
                 exchange.responder.sendPart(events, memory)
             }
-            if (exchange.events.isOverlong) return AttemptResult.Broken("an event of the stream is too long")
+            if (exchange.events.isOverlong) return AttemptResult.NotKept("an event of the stream is too long", isEndless = true)
         }
         if (exchange.events.hasPartialEvent) return AttemptResult.Broken("the stream ended within an event")
         exchange.responder.endStream()
--- a/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/ServerAvailability.kt
@@ -8,10 +8,12 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The backend servers that want no requests from this instance, as they said in their answers: those that are leaving, and those that
- * asked for a pause. This holds without a leader or another instance, and ends when the server starts anew. Thread-safe.
+ * asked for a pause; and those that lately sent an answer without end. This holds without a leader or another instance, and ends when the
+ * server starts anew. Thread-safe.
  */
 public class ServerAvailability(
     private val clusterView: ClusterView,
@@ -25,6 +27,9 @@
     private val log = EventLogger("servers")
     private val absences = ConcurrentHashMap<ServerIncarnation, Absence>()
 
+    /** Until when servers that sent an answer without end are avoided. */
+    private val avoidances = ConcurrentHashMap<ServerIncarnation, Duration>()
+
     /** Servers to which this instance must not send requests now. */
     public val unavailable: Set<String>
         get() = if (absences.isEmpty()) emptySet() else absences.keys.filter(::isAbsent).mapTo(HashSet()) { it.server }
@@ -32,6 +37,30 @@
     /** True if this instance must not send requests to [server] now. */
     public fun isUnavailable(server: String): Boolean = absences.isNotEmpty() && isAbsent(incarnationOf(server))
 
+    /**
+     * Servers of [service] that lately sent an answer without end, and so should get no requests that others can serve. Empty if these are all
+     * that are ready.
+     */
+    public fun avoided(service: String): Set<String> {
+        if (avoidances.isEmpty()) return emptySet()
+        val now = clock.elapsed()
+        avoidances.values.removeIf { it <= now }
+        val ready = clusterView.servers().filter { it.service == service && it.phase == ServerPhase.READY && !isUnavailable(it.id) }
+        val avoided = ready.map { it.id }.filterTo(HashSet()) { avoidances.containsKey(incarnationOf(it)) }
+        return if (avoided.size < ready.size) avoided else emptySet()
+    }
+
+    /** Records that [incarnation] sent an answer without end. */
+    internal fun recordEndlessAnswer(incarnation: ServerIncarnation) {
+        if (avoidances.put(incarnation, clock.elapsed() + AVOIDANCE) != null) return
+        log.info(
+            "server_avoided",
+            "server" to incarnation.server,
+            "started" to incarnation.startedAtMillis,
+            "for_ms" to AVOIDANCE.inWholeMilliseconds,
+        )
+    }
+
     /**
      * Time until the first server of [service] that asked for a pause takes requests again; null if one takes them now, or none has asked
      * for a pause.
@@ -112,5 +141,8 @@
     private companion object {
         /** Longer than a server that is leaving goes on to answer. */
         val LEAVING_RETENTION = 10.minutes
+
+        /** Each answer without end takes a second or more of the instance's link; a server that is sound again is soon used. */
+        val AVOIDANCE = 3.seconds
     }
 }
--- a/gateway/src/test/kotlin/anvilslip/gateway/ServerAvailabilitySpec.kt
+++ b/gateway/src/test/kotlin/anvilslip/gateway/ServerAvailabilitySpec.kt
@@ -49,6 +49,33 @@
             }
         }
 
+        describe("a server that sent an answer without end") {
+            // Guards against a faulty server that gets requests, and each time fills the link of the instance, while others have room.
+            it("is avoided for a while") {
+                val instance = Instance().apply { listOf("s", "t").forEach { report(it) } }
+                instance.availability.recordEndlessAnswer(instance.availability.incarnationOf("s"))
+                instance.availability.avoided("app") shouldBe setOf("s")
+                instance.availability.avoided("other") shouldBe emptySet()
+                instance.availability.isUnavailable("s") shouldBe false
+                instance.clock.advance(3.seconds)
+                instance.availability.avoided("app") shouldBe emptySet()
+            }
+
+            it("is not avoided after it has started anew") {
+                val instance = Instance().apply { listOf("s", "t").forEach { report(it) } }
+                instance.availability.recordEndlessAnswer(instance.availability.incarnationOf("s"))
+                instance.report("s", startedAtMillis = 2)
+                instance.availability.avoided("app") shouldBe emptySet()
+            }
+
+            it("is not avoided if no other server is ready") {
+                val instance = Instance().apply { listOf("s", "t").forEach { report(it) } }
+                instance.record("t", ServerNotice(isLeaving = true))
+                instance.availability.recordEndlessAnswer(instance.availability.incarnationOf("s"))
+                instance.availability.avoided("app") shouldBe emptySet()
+            }
+        }
+
         describe("a server that asked for a pause") {
             it("is unavailable until the pause ends") {
                 val instance = Instance().apply { report("s") }
