Bound the answers of engines to queries and orders, and test the sum of the bounds against the heap

Now 1 MiB each and 8 MiB in sum, counted until they are decoded (EndlessReportSpec: 16 queries of an engine that answers without end, 6,283,840 bytes held at most; not run on the code before, which has no such sum).

MemoryBoundsSpec compares what callers and servers can fill with -Xmx of deploy/java.options: 84 of 112 MiB at an entry instance. What peers and operators can fill still has no such sum (docs/MEMORY.md, Open). docs/MEMORY.md said that slow callers take direct memory; with the allocator of the deploy file they do not (SlowCallersSpec: 7 bytes with it, 786,432 with the default).

--- a/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/Gateway.kt
@@ -62,7 +62,11 @@
         )
     private val foreignAnswers = ForeignAnswerRecorder(requestMetrics)
     private val answerLog = GivenUpAnswerRecorder(requestMetrics)
-    private val answers = AnswerBudget(onGiveUp = answerLog::record)
+    private val answers =
+        AnswerBudget(
+            capacityBytes = if (settings.clients == null) MemoryBounds.CONTROL_ANSWER_BYTES else MemoryBounds.ENTRY_ANSWER_BYTES,
+            onGiveUp = answerLog::record,
+        )
     private val client =
         kernel.install(
             HttpClient(CONNECT_TIMEOUT, threads = 1, MAX_IDLE, clock, foreignAnswers::record, ::recordConnect, answers = answers),
