Tell a start that failed from a full heap by the exit status

Status 3 meant both a start that failed (Main) and a virtual machine that ended because its heap was full (-XX:+ExitOnOutOfMemoryError), so that who reads a status alone could not tell the two signs of FAULT apart. A start that failed now ends with 4.

--- a/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
+++ b/daemon/src/main/kotlin/anvilslip/daemon/Main.kt
@@ -15,9 +15,11 @@
 import kotlin.time.Duration
 
 private const val EXIT_INVALID_SETTINGS = 2
-private const val EXIT_START_FAILED = 3
 
-/** Starts an instance or validates its settings. Exits with 2 if the settings are invalid and with 3 if the instance fails to start. */
+/** Not 3, which is the status of a virtual machine that ended because its heap was full. */
+private const val EXIT_START_FAILED = 4
+
+/** Starts an instance or validates its settings. Exits with 2 if the settings are invalid and with 4 if the instance fails to start. */
 public fun main(args: Array<String>) {
     val startedAt = SystemClock.elapsed()
     val parser = ArgParser("anvilslipd")
