Count only answers that have taken memory as candidates to be given up, and judge a stated length at the first bytes

An answer to HEAD, or one of status 304, states the length of a body that does not come; it was refused if that was over 16 MiB. A request that could not be sent after the client was stopped left an empty account behind.

--- a/entry/src/main/kotlin/anvilslip/entry/http/AnswerBudget.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/AnswerBudget.kt
@@ -13,6 +13,7 @@
     private val capacityBytes: Long = DEFAULT_CAPACITY_BYTES,
     private val onGiveUp: (heldBytes: Long) -> Unit = {},
 ) {
+    /** Answers that have taken memory and may take more. */
     private val arriving = LinkedHashSet<AnswerMemory>()
     private var held = 0L
 
@@ -20,7 +21,7 @@
     public val heldBytes: Long @Synchronized get() = held
 
     /** Begins the account of an answer that is expected; [giveUp] releases its memory when another answer needs the room. */
-    internal fun open(giveUp: () -> Unit): AnswerMemory = AnswerMemory(this, giveUp).also { synchronized(this) { arriving += it } }
+    internal fun open(giveUp: () -> Unit): AnswerMemory = AnswerMemory(this, giveUp)
 
     /**
      * Adds [bytes] to [memory], if need be by giving up answers that are still arriving. Returns false if there is no room for them, or
@@ -36,6 +37,7 @@
                     if (memory.isClosed) return false
                     if (hasRoom(memory.heldBytes + bytes, bytes)) {
                         add(memory, bytes.toLong())
+                        if (!memory.isComplete) arriving += memory
                         return true
                     }
                     (largestArriving(memory, bytes) ?: memory).also { it.isClosed = true }
@@ -63,10 +65,10 @@
 
         fun sizeOf(answer: AnswerMemory) = if (answer === memory) size else answer.heldBytes
 
-        fun mayEnd(answer: AnswerMemory) = answer.hasStatedLength || answer.heldBytes <= SMALL_ANSWER_BYTES
+        fun isBounded(answer: AnswerMemory) = answer.hasStatedLength || answer.heldBytes <= SMALL_ANSWER_BYTES
         return arriving
-            .filter { !it.isClosed && (!mayEnd(it) || sizeOf(it) >= size) }
-            .minWithOrNull(compareBy<AnswerMemory> { mayEnd(it) }.thenByDescending(::sizeOf))
+            .filter { !it.isClosed && (!isBounded(it) || sizeOf(it) >= size) }
+            .minWithOrNull(compareBy<AnswerMemory> { isBounded(it) }.thenByDescending(::sizeOf))
     }
 
     @Synchronized
@@ -95,6 +97,7 @@
     /** An answer that has arrived completely is delivered: it is not given up for another one. */
     @Synchronized
     internal fun complete(memory: AnswerMemory) {
+        memory.isComplete = true
         arriving -= memory
     }
 
--- a/entry/src/main/kotlin/anvilslip/entry/http/AnswerMemory.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/AnswerMemory.kt
@@ -11,6 +11,9 @@
     /** True once the answer may take no more memory. */
     var isClosed = false
 
+    /** True once the answer has arrived completely. */
+    var isComplete = false
+
     /** True if the head of the answer says how long its body is, so that it ends. */
     @Volatile
     var hasStatedLength = false
--- a/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
+++ b/entry/src/main/kotlin/anvilslip/entry/http/HttpClientResponse.kt
@@ -84,11 +84,9 @@
     /**
      * Reads the complete body, which may have at most [limit] bytes. The result must be closed.
      *
-     * @throws HttpClientException.NotKept if it has more; at once if the head says so
+     * @throws HttpClientException.NotKept if it has more; at its first bytes if the head says so
      */
     public suspend fun readAll(limit: Int): ReceivedBody {
-        val length = receivedHead.statedLength ?: 0
-        if (length > limit) throw HttpClientException.NotKept("the answer has $length bytes, over $limit", Reason.TOO_LARGE)
         while (true) {
             val bytes = read() ?: return synchronized(lock) { notKept?.let { throw it } ?: collector.take() }
             collect(bytes, limit)
@@ -99,6 +97,8 @@
         bytes: ByteArray,
         limit: Int,
     ) {
+        val length = receivedHead.statedLength ?: 0
+        if (length > limit) throw HttpClientException.NotKept("the answer has $length bytes, over $limit", Reason.TOO_LARGE)
         val size = synchronized(lock) { collector.size }
         if (size + bytes.size > limit) throw HttpClientException.NotKept("the answer is over $limit bytes", Reason.TOO_LONG)
         val needed = synchronized(lock) { collector.memoryToAdd(bytes) }
