Load no more adapters on an engine than fit into its memory beside its models

Cause: the leader counted places for adapters and never the memory; AdapterMb was decoded and not read. Now an engine takes as many adapters as it has places and as its memory holds beside its models, at the leader and at load delegates.

--- a/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
+++ b/gateway/src/main/kotlin/anvilslip/gateway/LoadDelegate.kt
@@ -6,6 +6,7 @@
 import anvilslip.policy.DelegateFencing
 import anvilslip.policy.DispatchOptions
 import anvilslip.policy.EngineInventory
+import anvilslip.policy.EngineProfile
 import anvilslip.policy.FencingToken
 import anvilslip.policy.LoadRanking
 import anvilslip.policy.ServerPhase
@@ -45,7 +46,7 @@
     /** An engine for which this instance may order a load now. */
     private class Target(
         val report: ServerReport,
-        val adapterSlots: Int,
+        val engine: EngineProfile,
         val term: Long,
         /** Null for the newest version. */
         val version: Long?,
@@ -128,7 +129,7 @@
                 ?.get(ask.service)
                 ?.engine ?: return null
         val named = active.versions[AdapterName(ask.model, ask.adapter)]
-        return Target(report, engine.adapterSlots, term, listOfNotNull(named, ask.version).maxOrNull())
+        return Target(report, engine, term, listOfNotNull(named, ask.version).maxOrNull())
     }
 
     private suspend fun queryInventory(target: Target): EngineInventory? =
@@ -149,7 +150,7 @@
             return if (isOwn) DelegateLoadReply(true, remainingTransit() + options.loadMargin.inWholeMilliseconds) else loading()
         }
         val occupied = inventory.models.sumOf { it.adapters.size } + inventory.pending.values.sumOf { it.size }
-        return if (occupied < target.adapterSlots) null else UNAVAILABLE
+        return if (occupied < target.engine.adapterCapacity(inventory.models.mapTo(HashSet()) { it.name })) null else UNAVAILABLE
     }
 
     private suspend fun sendOrder(
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchFleet.kt
@@ -176,6 +176,9 @@
 
     fun engineOf(server: DispatchServer): EngineProfile? = configuration.services[server.report.service]?.engine
 
+    /** Number of adapters that [server] may hold; null if it is no engine. */
+    fun adapterCapacity(server: DispatchServer): Int? = engineOf(server)?.let(server::adapterCapacity)
+
     private fun performanceOf(report: ServerReport): EnginePerformance {
         val service =
             performances.getOrPut(report.service) {
--- a/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/DispatchServer.kt
@@ -15,7 +15,9 @@
         set(value) {
             val isChanged = value.models != field.models
             field = value
-            if (isChanged) reportedModels = namesOf(value)
+            if (!isChanged) return
+            reportedModels = namesOf(value)
+            capacityProfile = null
         }
     private var reportedModels = namesOf(report)
     val adapterSlots = AdapterSlots()
@@ -49,6 +51,23 @@
 
     /** Models in the last inventory; needed because heartbeat reports lag behind. */
     private var inventoryModels = emptySet<String>()
+        set(value) {
+            field = value
+            capacityProfile = null
+        }
+
+    /** The profile that [capacity] is computed from; null if it has to be computed again. */
+    private var capacityProfile: EngineProfile? = null
+    private var capacity = 0
+
+    /** Number of adapters that the server, an engine of [profile], may hold beside its models. */
+    fun adapterCapacity(profile: EngineProfile): Int {
+        if (capacityProfile !== profile) {
+            capacity = profile.adapterCapacity(inventoryModels + reportedModels)
+            capacityProfile = profile
+        }
+        return capacity
+    }
 
     /** True if the server is known to hold no model and none is being loaded. */
     val hasNoModel: Boolean get() = !isLoadingModel && report.models?.isEmpty() == true && inventoryModels.isEmpty()
--- a/policy/src/main/kotlin/anvilslip/policy/EngineProfile.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/EngineProfile.kt
@@ -13,4 +13,21 @@
     val adapterSlots: Int,
     /** Maximum number of loads from the weight store started per second, over all servers. */
     val loadsPerSecond: Double,
-)
+) {
+    /**
+     * Number of adapters that an engine holds beside the base models [held]: at most its slots, and what fits into its memory if all are as
+     * large as the largest of these models' adapters.
+     */
+    public fun adapterCapacity(held: Set<String>): Int {
+        val present = models.filter { it.name in held }
+        val largestMb = present.maxOfOrNull { it.adapterMb } ?: 0.0
+        if (largestMb <= 0) return adapterSlots
+        val freeMb = weightsMb - present.sumOf { it.weightsMb }
+        return minOf(adapterSlots, (freeMb / largestMb + ROUNDING).toInt()).coerceAtLeast(0)
+    }
+
+    private companion object {
+        /** Share of an adapter that is lost to rounding when sizes are given as decimal fractions. */
+        const val ROUNDING = 1e-6
+    }
+}
--- a/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
+++ b/policy/src/main/kotlin/anvilslip/policy/LoadPlanner.kt
@@ -116,7 +116,7 @@
         server: DispatchServer,
         now: Duration,
     ): Boolean {
-        val slots = fleet.engineOf(server)?.adapterSlots ?: return false
+        val slots = fleet.adapterCapacity(server) ?: return false
         return server.adapterSlots.size < slots || (server.adapterSlots.size == slots && server.evictionCandidate(now) != null)
     }
 
@@ -189,7 +189,7 @@
         version: Long?,
         now: Duration,
     ): LoadOrder {
-        val slots = fleet.engineOf(server)?.adapterSlots ?: 0
+        val slots = fleet.adapterCapacity(server) ?: 0
         val current = server.adapterSlots[adapter]
         val evict = if (current == null && server.adapterSlots.size >= slots) server.evictionCandidate(now) else null
         evict?.state = State.LEAVING
@@ -203,7 +203,7 @@
 
     fun loadSteps(order: LoadOrder): LoadSteps? {
         val server = fleet[order.server] ?: return null
-        val slots = fleet.engineOf(server)?.adapterSlots ?: return null
+        val slots = fleet.adapterCapacity(server) ?: return null
         val orders = server.ordersAccepted ?: return null
         val evict = order.evict?.takeIf { it in server.adapterSlots }
         val others = server.occupiedSlots - (if (evict == null) 0 else 1)
